--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,869 @@
+package brain
+
+// A front makes one Mixer per instance with New, sets its clock with At before each batch of events, and
+// hands events over in the order they came: list entries, scans and their parts, returns, wakes. What is to
+// be done comes out of the Actions given to New, within the call. The interface stands in types.go; the
+// mechanical helpers in slab.go. Everything that is decided is decided here.
+
+import (
+	"slices"
+	"time"
+)
+
+// Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
+const (
+	beat       = 50 * time.Millisecond // how often waiting things are looked at again
+	gainLat    = 0.08                  // smoothing of this mixer's part latency
+	gainSrv    = 0.2                   // smoothing of one searcher's latency
+	clip       = 3.0                   // one sample counts as this many times the mean at most
+	narrowRate = 0.6                   // share given up a second at the threshold
+	widenRate  = 0.12                  // share regained a second
+	missCut    = 0.8                   // a missed target pulls the threshold to this share of the latency
+	missFloor  = 0.15                  // of the target; the threshold goes no lower
+	missBack   = 0.02                  // share of the target that the threshold regains a second
+	hedgeDevs  = 3.0                   // mean deviations past the mean at which a part counts as late
+	silentLats = 2.5                   // a searcher silent for so many part latencies counts as stuck
+	extraShare = 0.15                  // further dispatches allowed for each first one
+	extraBrim  = 30.0
+	boxFirst   = 250 * time.Millisecond
+	boxMost    = 4 * time.Second
+	coldMargin = 0.7 // share of the cold budget that is used
+	eps        = 5e-5
+)
+
+type class struct {
+	TableType
+	thr    float64 // seconds; part latency above it narrows the share
+	share  float64
+	lat    smooth
+	tryMax float64 // longest first try seen, as a share of the time-out
+}
+
+type srv struct {
+	state   Standing
+	known   bool
+	cell    int
+	weight  float64
+	started time.Duration
+	lat     smooth
+	heard   time.Duration // last answer
+	since   time.Duration // last sign of life, or when the first of the present parts went out
+	out     int           // calls out
+	parts   int           // parts out
+	fails   int
+	box     time.Duration // not used before this
+	cold    bucket
+	call    int32 // call that is still open in this round
+	callAt  time.Duration
+	listed  bool
+}
+
+type call struct {
+	srv         int32
+	total, left int
+}
+
+type try struct {
+	srv, call int32
+	at        time.Duration
+	out       bool
+	mayRun    bool
+}
+
+type part struct {
+	id      uint64
+	scan    int32
+	scanGen uint32
+	class   int32
+	shard   int
+	weight  float64
+	tie     float64
+	tries   []try
+	live    int  // tries out
+	in      bool // its answer counts
+	lost    bool // nothing more will come of it
+	over    bool // its scan has ended
+	mayAt   time.Duration
+	may     bool
+}
+
+type scan struct {
+	id, no    uint64
+	class     int32
+	tenant    int32
+	target    time.Duration
+	end       time.Duration
+	expect    int
+	step      int
+	whole     bool // the first step's answer was
+	ran       bool // a part of the first step may have run
+	parts     []int32
+	first     int // where the present step's parts begin
+	got, gone float64
+	pass      int
+	next      step
+}
+
+// result is what a step is handed.
+type result struct {
+	part int32 // -1 when only time has passed
+	pass bool
+}
+
+type step func(m *Mixer, si int32, r result)
+
+type Mixer struct {
+	act    Actions
+	now    time.Duration
+	dice   dice
+	cls    []class
+	srvs   []srv
+	cells  [][]int32
+	scans  slab[scan]
+	parts  slab[part]
+	calls  slab[call]
+	byID   map[uint64]int32 // parts and scans; scans as ^place
+	byNo   map[uint64]int32
+	held   int
+	lat    smooth // seconds
+	dev    smooth
+	avg    float64
+	sends  smooth // first dispatches a second
+	sent   int
+	beatAt time.Duration
+	extra  bucket
+	taken  window
+	agains window
+
+	reach, shards, bundle, tries, holdMost int
+	copies, advice, ask                    bool
+	round, retryMost, askEvery, askAt      time.Duration
+	askBack                                time.Duration
+	coldFor, fallSpan                      time.Duration
+	coldShare, fallMult                    float64
+	budgeted                               bool
+	budFree, budShare                      float64
+	budSpan                                time.Duration
+	quota                                  []float64
+	tenants                                []bucket
+}
+
+// New starts a mixer that knows nothing but its settings.
+func New(s Settings, act Actions, now time.Duration) *Mixer {
+	m := &Mixer{act: act, now: now, dice: newDice(s.Seed, s.Me), byID: map[uint64]int32{}, byNo: map[uint64]int32{},
+		reach: s.Reach, shards: s.Shards, bundle: max(1, s.PartsPerCall), tries: max(1, s.MaxTries),
+		holdMost: s.MaxHeld, copies: s.SecondCopies, advice: s.RetryAdvice, ask: s.AskFor, round: s.Round,
+		retryMost: s.MaxRetryIn, askEvery: s.AskEvery, coldFor: s.ColdFor, fallSpan: s.FallSpan,
+		coldShare: s.ColdShare, fallMult: s.FallMultiple, budgeted: s.Budgeted, budFree: s.BudgetFree,
+		budShare: s.BudgetShare, budSpan: s.BudgetSpan}
+	for _, t := range s.Types {
+		m.cls = append(m.cls, class{TableType: t, thr: t.Target.Seconds(), share: 1})
+	}
+	for _, q := range s.Quotas {
+		m.quota = append(m.quota, q/float64(max(1, s.Mixers)))
+		m.tenants = append(m.tenants, bucket{level: q, at: now})
+	}
+	m.cells = make([][]int32, s.Cells)
+	m.extra.level = extraBrim
+	m.beatAt = now
+	if m.ask {
+		m.askList()
+	}
+	act.Wake(now+beat, 0)
+	return m
+}
+
+// At sets the clock; it never goes back.
+func (m *Mixer) At(now time.Duration) { m.now = max(m.now, now) }
+
+func (m *Mixer) askList() {
+	m.act.Subscribe()
+	m.askAt = 0
+}
+
+// ListBegin opens a list event; its entries follow, then ListEnd.
+func (m *Mixer) ListBegin(mode ListMode) {
+	if mode == Failed {
+		// Asking at once again would add to what keeps the list service from answering.
+		m.askBack = min(max(2*m.askBack, 500*time.Millisecond), m.askEvery/4)
+		m.askAt = m.now + time.Duration(float64(m.askBack)*(0.75+0.5*m.dice.roll(0)))
+		return
+	}
+	m.askBack = 0
+	if mode != Changes {
+		for i := range m.srvs {
+			m.srvs[i].listed = false
+		}
+	}
+}
+
+// ListEntry tells of one searcher.
+func (m *Mixer) ListEntry(i int, st Standing, weight float64, started time.Duration, cell int) {
+	for len(m.srvs) <= i {
+		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo})
+	}
+	s := &m.srvs[i]
+	if !s.known || s.started != started || (s.state == Gone && st == Ready) {
+		// What an earlier process showed says nothing of the one that took its place.
+		s.lat, s.fails, s.box = smooth{}, 0, 0
+		s.cold = bucket{at: m.now, level: 1}
+	}
+	s.known, s.listed, s.state, s.weight, s.started, s.cell = true, true, st, weight, started, cell
+}
+
+// ListEnd closes a list event.
+func (m *Mixer) ListEnd(mode ListMode) {
+	for c := range m.cells {
+		m.cells[c] = m.cells[c][:0]
+	}
+	for i := range m.srvs {
+		s := &m.srvs[i]
+		if (mode == Whole || mode == Remembered) && !s.listed {
+			s.state = Gone
+		}
+		if s.known && s.state == Ready && s.cell >= 0 && s.cell < len(m.cells) {
+			m.cells[s.cell] = append(m.cells[s.cell], int32(i))
+		}
+	}
+	m.average()
+}
+
+// Scan takes a scan; its parts follow.
+func (m *Mixer) Scan(id, no uint64, cl, tenant int, left, work time.Duration, parts int, repeat bool) {
+	i := m.scans.take()
+	sc := &m.scans.at[i]
+	c := &m.cls[cl]
+	keep := sc.parts[:0]
+	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), expect: parts, parts: keep, next: gather}
+	// A repeat has used up part of its target time. Its try is shorter than a first one only when the whole
+	// time-out binds, so what is missing from the longest try seen tells how much, at least.
+	share := left.Seconds() / c.Timeout.Seconds()
+	c.tryMax = max(c.tryMax, share)
+	var used time.Duration
+	if share < 0.98*c.tryMax {
+		used = c.Timeout - left
+	}
+	target := min(c.Timeout, c.Target+time.Duration(c.Stretch*float64(work)))
+	sc.target = m.now + target - used - 3*m.round
+	sc.end = m.now + left - 2*m.round
+	m.byID[id] = ^i
+	m.byNo[no] = i
+	m.held++
+	m.taken.add(m.now, m.budSpan)
+	if parts <= 0 {
+		m.giveUp(i)
+	}
+}
+
+// Part takes one part of a scan that was handed over before.
+func (m *Mixer) Part(id, no uint64, shard int, weight float64) {
+	m.taken.add(m.now, m.budSpan)
+	si, ok := m.byNo[no]
+	if !ok {
+		return
+	}
+	pi := m.parts.take()
+	p := &m.parts.at[pi]
+	keep := p.tries[:0]
+	sc := &m.scans.at[si]
+	*p = part{id: id, scan: si, scanGen: m.scans.gen[si], class: sc.class, shard: shard, weight: weight, tries: keep}
+	p.tie = m.dice.roll(id)
+	m.byID[id] = pi
+	m.held++
+	sc.next(m, si, result{part: pi})
+}
+
+// gather waits for the parts of a step, then sends what is to be sent.
+func gather(m *Mixer, si int32, r result) {
+	sc := &m.scans.at[si]
+	if r.part < 0 {
+		if m.now >= sc.end {
+			m.giveUp(si)
+		}
+		return
+	}
+	sc.parts = append(sc.parts, r.part)
+	if len(sc.parts)-sc.first < sc.expect {
+		return
+	}
+	if sc.step == 0 && !m.admit(sc) {
+		m.giveUp(si)
+		return
+	}
+	m.launch(si)
+}
+
+// admit turns away what could not be done in time.
+func (m *Mixer) admit(sc *scan) bool {
+	c := &m.cls[sc.class]
+	if c.LateShare == 0 && m.now >= sc.target {
+		return false
+	}
+	left := (sc.target - m.now).Seconds()
+	if m.lat.heard && c.LateShare < 0.5 && m.lat.v > left {
+		return false
+	}
+	return true
+}
+
+// launch sends the heaviest parts up to the class's share, once for each step.
+func (m *Mixer) launch(si int32) {
+	sc := &m.scans.at[si]
+	sc.next = collect
+	c := &m.cls[sc.class]
+	ps := sc.parts[sc.first:]
+	slices.SortFunc(ps, func(a, b int32) int {
+		x, y := &m.parts.at[a], &m.parts.at[b]
+		switch {
+		case x.weight > y.weight, x.weight == y.weight && x.tie < y.tie:
+			return -1
+		case x.weight == y.weight && x.tie == y.tie:
+			return 0
+		}
+		return 1
+	})
+	share := 1.0
+	if sc.step == 0 && c.Floor < c.Need {
+		share = c.share
+	}
+	sum, cut := 0.0, len(ps)
+	for i, pi := range ps {
+		if share < 1 && sum >= share-eps {
+			cut = i
+			break
+		}
+		sum += m.parts.at[pi].weight
+	}
+	for _, pi := range ps[cut:] {
+		sc.gone += m.parts.at[pi].weight
+		m.release(pi)
+	}
+	sc.parts = sc.parts[:sc.first+cut]
+	fair := m.fair(sc)
+	for _, pi := range sc.parts[sc.first:] {
+		m.extra.level = min(extraBrim, m.extra.level+extraShare)
+		m.sent++
+		m.dispatch(pi, fair)
+	}
+	m.judge(si)
+}
+
+// fair is how many parts of a scan may ride in one call before the call weighs like another.
+func (m *Mixer) fair(sc *scan) int {
+	if m.bundle == 1 {
+		return 1
+	}
+	n := 0
+	for c := range m.cells {
+		hit := false
+		for _, pi := range sc.parts[sc.first:] {
+			d := (c - m.parts.at[pi].shard%len(m.cells) + len(m.cells)) % len(m.cells)
+			hit = hit || d < m.reach
+		}
+		if hit {
+			n += len(m.cells[c])
+		}
+	}
+	return min(m.bundle, (len(sc.parts)-sc.first+max(n, 1)-1)/max(n, 1))
+}
+
+// warmth is the share of its work that a searcher can be counted on to do by now.
+func (m *Mixer) warmth(s *srv) float64 {
+	if s.started == LongAgo || m.coldFor <= 0 {
+		return 1
+	}
+	age := max(0, m.now-s.started-m.fallSpan)
+	return min(1, m.coldShare+(1-m.coldShare)*age.Seconds()/m.coldFor.Seconds())
+}
+
+// coldRoom guards against pushing over a searcher that has just started: what this mixer sends it in any
+// span stays under its share of what the searcher can take, judged by what this mixer sends to others.
+func (m *Mixer) coldRoom(s *srv) bool {
+	if s.started == LongAgo || m.now-s.started >= m.coldFor+m.fallSpan {
+		return true
+	}
+	n := 0
+	for c := range m.cells {
+		n += len(m.cells[c])
+	}
+	span := m.fallSpan.Seconds()
+	budget := max(1, coldMargin*m.fallMult*m.warmth(s)*m.sends.v/float64(max(n, 1))*span)
+	return s.cold.fill(m.now, budget/2/span, max(1, budget/2)) >= 1
+}
+
+// weigh is a searcher's latency as the replica rule sees it.
+func (m *Mixer) weigh(s *srv) float64 {
+	lat := m.avg
+	if s.lat.heard {
+		idle := (m.now - s.heard).Seconds()
+		f := idle / (idle + 5)
+		lat = s.lat.v + (m.avg-s.lat.v)*f
+	}
+	if s.parts > 0 {
+		lat = max(lat, (m.now - s.since).Seconds())
+	}
+	return max(lat, 1e-3)
+}
+
+// stuck guards against a searcher that takes parts and answers none.
+func (m *Mixer) stuck(s *srv) bool {
+	return s.parts > 0 && m.lat.heard && (m.now-s.since).Seconds() > silentLats*m.lat.v+hedgeDevs*m.dev.v
+}
+
+// pick applies the replica rule among the shard's holders; sound ones go first, ones tried already last.
+func (m *Mixer) pick(p *part, fair int) int32 {
+	best, bestRank, bestCost := int32(-1), 9, 0.0
+	n := len(m.cells)
+	for j := range min(m.reach, n) {
+		for _, i := range m.cells[(p.shard+j)%n] {
+			s := &m.srvs[i]
+			if !m.coldRoom(s) {
+				continue
+			}
+			rank := 0
+			if m.now < s.box || (s.fails > 0 && s.parts > 0) || m.stuck(s) {
+				rank = 1
+			}
+			for t := range p.tries {
+				if p.tries[t].srv == i {
+					rank = max(rank, 2)
+					if p.tries[t].out {
+						rank = 9
+					}
+				}
+			}
+			out := float64(s.out + 1)
+			if m.joins(s, fair) {
+				out--
+			}
+			cost := m.weigh(s) * out
+			if rank < bestRank || (rank == bestRank && cost < bestCost) {
+				best, bestRank, bestCost = i, rank, cost
+			}
+		}
+	}
+	return best
+}
+
+func (m *Mixer) joins(s *srv, fair int) bool {
+	return s.call >= 0 && s.callAt == m.now && m.calls.at[s.call].total < fair
+}
+
+// dispatch sends a part, first or again; false if it may not go or nobody can take it now.
+func (m *Mixer) dispatch(pi int32, fair int) bool {
+	p := &m.parts.at[pi]
+	sc := &m.scans.at[p.scan]
+	if !m.may(p, sc) {
+		return false
+	}
+	i := m.pick(p, fair)
+	if i < 0 {
+		return false
+	}
+	s := &m.srvs[i]
+	again := len(p.tries) > 0
+	if !m.joins(s, fair) {
+		s.call = m.calls.take()
+		m.calls.at[s.call] = call{srv: i}
+		s.callAt = m.now
+		s.out++
+	}
+	k := &m.calls.at[s.call]
+	k.total++
+	k.left++
+	if s.parts == 0 {
+		s.since = m.now
+	}
+	s.parts++
+	s.cold.level--
+	if again {
+		m.agains.add(m.now, m.budSpan)
+	}
+	until := sc.end
+	if m.cls[sc.class].LateShare == 0 {
+		until = min(until, sc.target)
+	}
+	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, out: true})
+	p.live++
+	m.act.Dispatch(p.id, int(i), max(until, m.now+m.round))
+	return true
+}
+
+// may holds the rules on sending a part.
+func (m *Mixer) may(p *part, sc *scan) bool {
+	if p.over || p.in || p.lost || len(p.tries) >= m.tries || m.now >= sc.end {
+		return false
+	}
+	if len(p.tries) == 0 {
+		return true
+	}
+	if p.live > 0 && !m.copies {
+		return false
+	}
+	c := &m.cls[p.class]
+	if (p.may || p.live > 0) && c.Effect == NonReplayable {
+		return false
+	}
+	if c.Effect == Keyed && (p.may || p.live > 0) {
+		from := m.now
+		if p.may {
+			from = p.mayAt
+		}
+		for t := range p.tries {
+			if p.tries[t].out {
+				from = min(from, p.tries[t].at)
+			}
+		}
+		if m.now-from >= c.RepeatWindow-2*m.round {
+			return false
+		}
+	}
+	if m.budgeted {
+		room := m.budFree + m.budShare*float64(m.taken.low(m.now, m.budSpan))
+		return float64(m.agains.high(m.now, m.budSpan)+1) <= room
+	}
+	return true
+}
+
+// Returned tells how a dispatch ended.
+func (m *Mixer) Returned(id uint64, no int, out Outcome, took time.Duration) {
+	pi, ok := m.byID[id]
+	if !ok || pi < 0 {
+		return
+	}
+	p := &m.parts.at[pi]
+	if no >= len(p.tries) || !p.tries[no].out {
+		return
+	}
+	t := &p.tries[no]
+	t.out = false
+	p.live--
+	m.learn(p, t, out, took)
+	if out != NoRoom && out != NoRoute && out != Stale {
+		t.mayRun = true
+		if !p.may || t.at < p.mayAt {
+			p.mayAt = t.at
+		}
+		p.may = true
+	}
+	if p.over {
+		if p.live == 0 {
+			m.release(pi)
+		}
+		return
+	}
+	si := p.scan
+	sc := &m.scans.at[si]
+	if p.in || p.lost {
+		return
+	}
+	sc.next(m, si, result{part: pi, pass: out == Pass})
+}
+
+// collect is handed each return of a step, and the time.
+func collect(m *Mixer, si int32, r result) {
+	sc := &m.scans.at[si]
+	if r.part >= 0 {
+		p := &m.parts.at[r.part]
+		switch {
+		case r.pass:
+			p.in = true
+			sc.got += p.weight
+			sc.pass++
+		case p.live > 0:
+			return
+		default:
+			m.again(r.part, sc)
+		}
+	}
+	m.judge(si)
+}
+
+// again sends a part that failed to another holder, if that can still help.
+func (m *Mixer) again(pi int32, sc *scan) {
+	p := &m.parts.at[pi]
+	if m.worthIt(p, sc) && m.dispatch(pi, 1) {
+		return
+	}
+	if len(p.tries) >= m.tries || (p.may && m.cls[p.class].Effect == NonReplayable) {
+		p.lost = true
+		sc.gone += p.weight
+	}
+}
+
+// worthIt asks whether a further dispatch would be back in time.
+func (m *Mixer) worthIt(p *part, sc *scan) bool {
+	until := sc.target
+	if m.now >= until || m.cls[sc.class].LateShare > 0 && sc.got < m.floor(sc)-eps {
+		until = sc.end
+	}
+	return (until - m.now).Seconds() > m.avg
+}
+
+func (m *Mixer) floor(sc *scan) float64 {
+	c := &m.cls[sc.class]
+	if sc.step > 0 && c.Floor >= c.Need {
+		return 1
+	}
+	return c.Floor
+}
+
+// judge ends a step when it is whole, hopeless, or out of time.
+func (m *Mixer) judge(si int32) {
+	sc := &m.scans.at[si]
+	c := &m.cls[sc.class]
+	need, floor := c.Need, m.floor(sc)
+	if sc.step > 0 {
+		need = 1
+	}
+	pending := false
+	for _, pi := range sc.parts[sc.first:] {
+		p := &m.parts.at[pi]
+		pending = pending || (!p.in && !p.lost)
+	}
+	switch {
+	case sc.got >= need-eps && (sc.step == 0 || !pending):
+		m.complete(si, sc.step == 0 || sc.whole && sc.pass == sc.expect)
+	case !pending && sc.got >= floor-eps:
+		m.complete(si, false)
+	case !pending || 1-sc.gone < floor-eps || m.now >= sc.end:
+		if sc.got >= floor-eps {
+			m.complete(si, false)
+			return
+		}
+		m.giveUp(si)
+	case m.now >= m.cutAt(sc):
+		if sc.got >= floor-eps {
+			m.missed(c)
+			m.complete(si, false)
+		} else if c.LateShare == 0 && m.now >= sc.target {
+			m.missed(c)
+			m.giveUp(si)
+		}
+	}
+}
+
+// cutAt is when a scan stops waiting for more than its floor.
+func (m *Mixer) cutAt(sc *scan) time.Duration {
+	at := sc.target
+	if c := &m.cls[sc.class]; sc.step == 0 && c.SecondStep > 0 {
+		at -= time.Duration(2 * m.lat.v * float64(time.Second))
+	}
+	return at
+}
+
+// missed lowers the threshold to the latency at which the class began to miss its target.
+func (m *Mixer) missed(c *class) {
+	target := c.Target.Seconds()
+	c.thr = max(missFloor*target, min(c.thr, missCut*m.lat.v))
+}
+
+func (m *Mixer) complete(si int32, whole bool) {
+	sc := &m.scans.at[si]
+	m.act.Complete(sc.id, whole)
+	c := &m.cls[sc.class]
+	if sc.step == 0 && c.SecondStep > 0 {
+		n := min(c.SecondStep, sc.pass)
+		sc.ran = m.ran(sc)
+		for _, pi := range sc.parts[sc.first:] {
+			m.close(pi)
+		}
+		sc.first, sc.step, sc.whole = len(sc.parts), 1, whole
+		sc.expect, sc.got, sc.gone, sc.pass = n, 0, 0, 0
+		sc.next = gather
+		return
+	}
+	m.finish(si)
+}
+
+// giveUp throttles where trying again is provably harmless, and abandons otherwise, at once.
+func (m *Mixer) giveUp(si int32) {
+	sc := &m.scans.at[si]
+	if m.cls[sc.class].Effect != Replayable && m.ran(sc) {
+		m.act.Abandon(sc.id)
+	} else {
+		var in time.Duration
+		if m.advice {
+			in = min(m.retryMost, time.Duration((0.5+m.dice.roll(sc.id))*max(m.lat.v, 0.1)*float64(time.Second)))
+		}
+		m.act.Throttle(sc.id, in)
+	}
+	m.finish(si)
+}
+
+// ran tells whether any part sent so far may have run; what is not proved otherwise may.
+func (m *Mixer) ran(sc *scan) bool {
+	ran := sc.ran
+	for _, pi := range sc.parts[sc.first:] {
+		p := &m.parts.at[pi]
+		ran = ran || p.may || p.live > 0
+	}
+	return ran
+}
+
+func (m *Mixer) finish(si int32) {
+	sc := &m.scans.at[si]
+	delete(m.byID, sc.id)
+	delete(m.byNo, sc.no)
+	for _, pi := range sc.parts[sc.first:] {
+		m.close(pi)
+	}
+	m.held--
+	m.scans.drop(si)
+}
+
+// close marks a part's scan as over; its place is kept until its dispatches are back.
+func (m *Mixer) close(pi int32) {
+	p := &m.parts.at[pi]
+	p.over = true
+	if p.live == 0 {
+		m.release(pi)
+	}
+}
+
+func (m *Mixer) release(pi int32) {
+	delete(m.byID, m.parts.at[pi].id)
+	m.held--
+	m.parts.drop(pi)
+}
+
+// Left tells that the client has gone.
+func (m *Mixer) Left(id uint64) {
+	if i, ok := m.byID[id]; ok && i < 0 {
+		m.finish(^i)
+	}
+}
+
+// learn takes from a return what it says of the searcher.
+func (m *Mixer) learn(p *part, t *try, out Outcome, took time.Duration) {
+	s := &m.srvs[t.srv]
+	s.parts--
+	k := &m.calls.at[t.call]
+	if k.left--; k.left == 0 {
+		s.out--
+		if s.call == t.call {
+			s.call = -1
+		}
+		m.calls.drop(t.call)
+	}
+	x := took.Seconds()
+	switch out {
+	case Pass:
+		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
+		m.cls[p.class].lat.add(x, gainLat)
+	case Fault:
+		// A quick error must not read as a fast searcher.
+		s.since, s.heard = m.now, m.now
+		s.fails++
+		if s.fails > 1 {
+			m.lock(s)
+		}
+		x = max(x, m.weigh(s), m.avg)
+	case TooSlow, Undone:
+		if !s.lat.heard || x < s.lat.v {
+			return
+		}
+		if t.at >= s.since || m.stuck(s) {
+			s.fails++
+			m.lock(s)
+		}
+	case NoRoom:
+		s.since = m.now
+		s.box = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
+		return
+	case NoRoute, Cut:
+		s.fails++
+		m.lock(s)
+		return
+	case Stale:
+		return
+	}
+	s.lat.add(x, gainSrv)
+	if m.lat.heard {
+		m.dev.add(min(clip*m.lat.v, max(x-m.lat.v, m.lat.v-x)), gainLat)
+		x = min(x, clip*m.lat.v)
+	}
+	m.lat.add(x, gainLat)
+	m.average()
+}
+
+// lock keeps off a searcher that failed, longer each time, with chance against mixers coming back in step.
+func (m *Mixer) lock(s *srv) {
+	wait := min(boxMost, boxFirst<<min(s.fails, 5))
+	s.box = m.now + time.Duration((0.75+0.5*m.dice.roll(0))*float64(wait))
+}
+
+// average is what a searcher not heard from counts as.
+func (m *Mixer) average() {
+	sum, n := 0.0, 0
+	for i := range m.srvs {
+		if s := &m.srvs[i]; s.state == Ready && s.lat.heard {
+			sum += s.lat.v
+			n++
+		}
+	}
+	m.avg = m.lat.v
+	if n > 0 {
+		m.avg = sum / float64(n)
+	}
+}
+
+// Woke is the beat: shares move, late parts go elsewhere, what waits is looked at again.
+func (m *Mixer) Woke(token uint64) {
+	m.act.Wake(m.now+beat, 0)
+	dt := (m.now - m.beatAt).Seconds()
+	m.beatAt = m.now
+	if dt > 0 {
+		m.sends.add(float64(m.sent)/dt, min(1, dt/8))
+		m.sent = 0
+	}
+	if m.ask && m.askAt > 0 && m.now >= m.askAt {
+		m.askList()
+	}
+	for i := range m.cls {
+		c := &m.cls[i]
+		c.thr = min(c.Target.Seconds(), c.thr+missBack*dt*c.Target.Seconds())
+		if m.lat.v > c.thr {
+			c.share -= narrowRate * dt * min(2, m.lat.v/c.thr)
+		} else {
+			c.share += widenRate * dt
+		}
+		c.share = min(1, max(c.share, c.Floor))
+	}
+	for i := range m.scans.at {
+		if m.scans.used[i] {
+			m.tend(int32(i))
+		}
+	}
+}
+
+// tend looks after a scan that waits: parts nobody took yet, and parts that are late.
+func (m *Mixer) tend(si int32) {
+	sc := &m.scans.at[si]
+	late := m.lat.v + hedgeDevs*m.dev.v
+	for _, pi := range sc.parts[sc.first:] {
+		p := &m.parts.at[pi]
+		if p.in || p.lost || !m.worthIt(p, sc) {
+			continue
+		}
+		if p.live == 0 {
+			m.again(pi, sc)
+			continue
+		}
+		t := &p.tries[len(p.tries)-1]
+		age := (m.now - t.at).Seconds()
+		stuck := m.stuck(&m.srvs[t.srv])
+		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
+			continue
+		}
+		if m.copies {
+			if m.dispatch(pi, 1) {
+				m.extra.level--
+			}
+		} else if stuck && m.cls[p.class].Effect == Replayable && len(p.tries) < m.tries {
+			m.act.Cancel(p.id, len(p.tries)-1)
+			m.extra.level--
+		}
+	}
+	sc.next(m, si, result{part: -1})
+}
--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,16 @@
+// Command simhost hosts mixers on the bench's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"peathollow/internal/simwire"
+)
+
+func main() {
+	if err := simwire.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/wire.go
@@ -0,0 +1,378 @@
+// Package simwire speaks the bench's wire: it decodes a line, calls the instance it names, and writes down
+// what that instance wants done. It decides nothing.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"peathollow/brain"
+)
+
+type entry struct {
+	addr             string
+	weight, started  float64
+	cell             int
+	dated, undefined bool
+	state            brain.Standing
+}
+
+type host struct {
+	in    *bufio.Reader
+	out   bytes.Buffer
+	num   [64]byte
+	f     [][]byte
+	now   time.Duration
+	insts map[string]*inst
+	lists [16][]entry
+	fill  int // list being defined
+	want  int
+	open  bool
+	line  int
+}
+
+// inst is one mixer and the tables that give its searchers small indices.
+type inst struct {
+	h       *host
+	name    string
+	base    time.Duration
+	m       *brain.Mixer
+	srv     map[string]int
+	addr    []string
+	types   map[string]int
+	tenants map[string]int
+}
+
+// Run serves the wire until the input ends.
+func Run(r io.Reader, w io.Writer) error {
+	h := &host{in: bufio.NewReaderSize(r, 1<<20), insts: map[string]*inst{}}
+	var long []byte
+	for {
+		line, err := h.in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			long = append(long, line...)
+			continue
+		}
+		if len(long) > 0 {
+			long = append(long, line...)
+			line = long
+		}
+		if err == io.EOF && len(line) == 0 && !h.open {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("input ended inside a batch or line: %w", err)
+		}
+		h.line++
+		line = line[:len(line)-1]
+		if bad := h.take(line); bad != nil {
+			return fmt.Errorf("line %d: %w: %.200q", h.line, bad, line)
+		}
+		if long != nil {
+			long = long[:0]
+		}
+		if !h.open && h.out.Len() > 0 {
+			if _, err := w.Write(h.out.Bytes()); err != nil {
+				return err
+			}
+			h.out.Reset()
+		}
+	}
+}
+
+var (
+	errShort  = errors.New("wrong number of values")
+	errNumber = errors.New("unreadable value")
+	errWord   = errors.New("unknown word")
+	errOrder  = errors.New("out of place")
+	errInst   = errors.New("instance not provisioned")
+	errList   = errors.New("list not defined")
+)
+
+// sizes are the numbers of fields after the first; -1 where the rest of the line is one of them.
+var sizes = map[string]int{"ROUND": 1, "COMMIT": 0, "PROVISION": -1, "DETACH": 1, "DEFINE_LIST": 2, "ITEM": 7,
+	"ENDPOINTS": 4, "REQUEST": 12, "HEADERS": 5, "RETURNED": 8, "ABANDONED": 2, "TIMEOUT_FIRED": 2,
+	"HEALTH_RESULT": 5, "MEMO": 3}
+
+func (h *host) take(line []byte) (err error) {
+	h.f = h.f[:0]
+	for rest := line; ; {
+		i := bytes.IndexByte(rest, ' ')
+		if i < 0 {
+			h.f = append(h.f, rest)
+			break
+		}
+		h.f = append(h.f, rest[:i])
+		rest = rest[i+1:]
+	}
+	f := h.f
+	n, ok := sizes[string(f[0])]
+	if !ok {
+		return errWord
+	}
+	if n >= 0 && len(f) != n+1 || n < 0 && len(f) < 3 {
+		return errShort
+	}
+	if h.open == (string(f[0]) == "ROUND") || (h.want > 0) != (string(f[0]) == "ITEM") {
+		return errOrder
+	}
+	switch string(f[0]) {
+	case "ROUND":
+		now, err := ms(f[1])
+		h.now, h.open = now, true
+		return err
+	case "COMMIT":
+		h.open = false
+		h.out.WriteString("READY\n")
+		return nil
+	case "DEFINE_LIST":
+		id, err1 := strconv.Atoi(string(f[1]))
+		n, err2 := strconv.Atoi(string(f[2]))
+		if err1 != nil || err2 != nil || id < 0 || id >= len(h.lists) || n < 0 {
+			return errNumber
+		}
+		h.fill, h.want, h.lists[id] = id, n, make([]entry, 0, min(n, 1<<16))
+		return nil
+	case "ITEM":
+		return h.item(f)
+	case "PROVISION":
+		return h.provision(f)
+	case "DETACH":
+		delete(h.insts, string(f[1]))
+		return nil
+	}
+	in := h.insts[string(f[1])]
+	if in == nil {
+		return errInst
+	}
+	defer func() {
+		if e := recover(); e != nil {
+			text := bytes.ReplaceAll(fmt.Append(nil, e), []byte("\n"), []byte(" "))
+			h.word("DIE", in.name).Write(append(append([]byte{' '}, text...), '\n'))
+			err = nil
+		}
+	}()
+	in.m.At(h.now - in.base)
+	return in.event(f)
+}
+
+func (h *host) item(f [][]byte) error {
+	h.want--
+	e := entry{addr: string(f[5])}
+	switch string(f[1]) {
+	case "ready":
+		e.state = brain.Ready
+	case "draining":
+		e.state = brain.Draining
+	case "gone":
+		e.state = brain.Gone
+	default:
+		return errWord
+	}
+	var err error
+	if e.weight, err = number(f[2], 1); err != nil {
+		return err
+	}
+	if e.started, err = number(f[3], 0); err != nil {
+		return err
+	}
+	e.dated = e.started > 0
+	if e.cell, err = strconv.Atoi(string(f[4])); err != nil && string(f[4]) != "-" {
+		return errNumber
+	} else if err != nil {
+		e.cell = -1
+	}
+	h.lists[h.fill] = append(h.lists[h.fill], e)
+	return nil
+}
+
+func (h *host) provision(f [][]byte) error {
+	seed, err := strconv.ParseUint(string(f[2]), 10, 64)
+	if err != nil {
+		return errNumber
+	}
+	in := &inst{h: h, name: string(f[1]), base: h.now, srv: map[string]int{}}
+	set, err := in.settings(seed, f[3:])
+	if err != nil {
+		return err
+	}
+	h.insts[in.name] = in
+	in.m = brain.New(set, in, 0)
+	return nil
+}
+
+var modes = map[string]brain.ListMode{"diff": brain.Changes, "snapshot": brain.Whole, "disk": brain.Remembered,
+	"error": brain.Failed}
+
+var outcomes = map[string]brain.Outcome{"pass": brain.Pass, "fault": brain.Fault, "no_room": brain.NoRoom,
+	"too_slow": brain.TooSlow, "no_route": brain.NoRoute, "cut": brain.Cut, "undone": brain.Undone,
+	"stale_send": brain.Stale}
+
+func (in *inst) event(f [][]byte) error {
+	switch string(f[0]) {
+	case "REQUEST":
+		return in.request(f)
+	case "RETURNED":
+		id, err1 := strconv.ParseUint(string(f[2]), 10, 64)
+		leg, err2 := strconv.Atoi(string(f[3]))
+		took, err3 := ms(f[6])
+		if err1 != nil || err2 != nil || err3 != nil || leg < 0 {
+			return errNumber
+		}
+		rc, ok := outcomes[string(f[5])]
+		if !ok {
+			return errWord
+		}
+		in.m.Returned(id, leg, rc, took)
+	case "ABANDONED":
+		id, err := strconv.ParseUint(string(f[2]), 10, 64)
+		if err != nil {
+			return errNumber
+		}
+		in.m.Left(id)
+	case "TIMEOUT_FIRED":
+		ctx, err := strconv.ParseUint(string(f[2]), 10, 64)
+		if err != nil {
+			return errNumber
+		}
+		in.m.Woke(ctx)
+	case "ENDPOINTS":
+		mode, ok := modes[string(f[2])]
+		if !ok {
+			return errWord
+		}
+		in.m.ListBegin(mode)
+		if mode == brain.Failed {
+			return nil
+		}
+		id, err := strconv.Atoi(string(f[4]))
+		if err != nil || id < 0 || id >= len(in.h.lists) {
+			return errNumber
+		}
+		if in.h.lists[id] == nil {
+			return errList
+		}
+		for _, e := range in.h.lists[id] {
+			i, ok := in.srv[e.addr]
+			if !ok {
+				i = len(in.addr)
+				in.srv[e.addr] = i
+				in.addr = append(in.addr, e.addr)
+			}
+			started := brain.LongAgo
+			if e.dated {
+				started = span(e.started) - in.base
+			}
+			in.m.ListEntry(i, e.state, e.weight, started, e.cell)
+		}
+		in.m.ListEnd(mode)
+	}
+	return nil
+}
+
+func (in *inst) request(f [][]byte) error {
+	id, err := strconv.ParseUint(string(f[2]), 10, 64)
+	no, err1 := strconv.ParseUint(string(f[8]), 10, 64)
+	shard, err2 := strconv.Atoi(string(f[9]))
+	amount, err3 := number(f[10], 1)
+	left, err4 := ms(f[6])
+	if err != nil || err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+		return errNumber
+	}
+	if shard >= 0 {
+		in.m.Part(id, no, shard, amount)
+		return nil
+	}
+	work, err := ms(f[7])
+	if err != nil {
+		return err
+	}
+	ty, ok := in.types[string(f[3])]
+	if !ok {
+		return errWord
+	}
+	tenant, ok := in.tenants[string(f[4])]
+	if !ok {
+		tenant = -1
+	}
+	in.m.Scan(id, no, ty, tenant, left, work, int(amount), string(f[11]) == "1")
+	return nil
+}
+
+func number(b []byte, absent float64) (float64, error) {
+	if len(b) == 1 && b[0] == '-' {
+		return absent, nil
+	}
+	x, err := strconv.ParseFloat(string(b), 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0, errNumber
+	}
+	return x, nil
+}
+
+func ms(b []byte) (time.Duration, error) {
+	x, err := number(b, 0)
+	return span(x), err
+}
+
+// span counts whole microseconds, as the wire's clock does.
+func span(ms float64) time.Duration {
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+func (h *host) word(verb, who string) *bytes.Buffer {
+	h.out.WriteString(verb)
+	h.out.WriteByte(' ')
+	h.out.WriteString(who)
+	return &h.out
+}
+
+func (h *host) uint(x uint64) *host {
+	h.out.WriteByte(' ')
+	h.out.Write(strconv.AppendUint(h.num[:0], x, 10))
+	return h
+}
+
+func (h *host) time(t time.Duration) *host {
+	h.out.WriteByte(' ')
+	h.out.Write(strconv.AppendFloat(h.num[:0], float64(t/time.Microsecond)/1000, 'f', -1, 64))
+	return h
+}
+
+func (h *host) flag(b bool) *host {
+	if b {
+		return h.uint(1)
+	}
+	return h.uint(0)
+}
+
+func (h *host) end() { h.out.WriteByte('\n') }
+
+func (in *inst) say(verb string) *host {
+	in.h.word(verb, in.name)
+	return in.h
+}
+
+// Dispatch and the methods below are the actions that brain asks for.
+func (in *inst) Dispatch(part uint64, srv int, until time.Duration) {
+	in.say("CALL_OUT").uint(part).time(in.base + until).out.WriteString(" " + in.addr[srv] + "\n")
+}
+
+func (in *inst) Cancel(part uint64, try int)    { in.say("CANCEL").uint(part).uint(uint64(try)).end() }
+func (in *inst) Complete(scan uint64, all bool) { in.say("SETTLE_QUERY").uint(scan).flag(all).end() }
+func (in *inst) Abandon(scan uint64)            { in.say("SURRENDER").uint(scan).end() }
+func (in *inst) Subscribe()                     { in.say("SUBSCRIBE").flag(true).end() }
+
+func (in *inst) Throttle(scan uint64, retryIn time.Duration) {
+	in.say("DECLINE").uint(scan).time(retryIn).end()
+}
+
+func (in *inst) Wake(at time.Duration, token uint64) {
+	in.say("AFTER").time(in.base + at).uint(token).end()
+}
