--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,6 +28,7 @@
 	boxFirst   = 250 * time.Millisecond
 	boxMost    = 4 * time.Second
 	coldMargin = 0.7 // share of the cold budget that is used
+	coldLeast  = 2.0 // parts a span that go to a cold searcher even when nothing is known yet
 	eps        = 5e-5
 )
 
@@ -113,27 +114,28 @@
 type step func(m *Mixer, si int32, r result)
 
 type Mixer struct {
-	act    Actions
-	now    time.Duration
-	dice   dice
-	cls    []class
-	srvs   []srv
-	cells  [][]int32
-	scans  slab[scan]
-	parts  slab[part]
-	calls  slab[call]
-	byID   map[uint64]int32 // parts and scans; scans as ^place
-	byNo   map[uint64]int32
-	held   int
-	lat    smooth // seconds
-	dev    smooth
-	avg    float64
-	sends  smooth // first dispatches a second
-	sent   int
-	beatAt time.Duration
-	extra  bucket
-	taken  window
-	agains window
+	act     Actions
+	now     time.Duration
+	dice    dice
+	cls     []class
+	srvs    []srv
+	cells   [][]int32
+	scans   slab[scan]
+	parts   slab[part]
+	calls   slab[call]
+	byID    map[uint64]int32 // parts and scans; scans as ^place
+	byNo    map[uint64]int32
+	held    int
+	lat     smooth // seconds
+	dev     smooth
+	avg     float64
+	served  smooth // passes a second and searcher
+	passed  int
+	carried float64
+	beatAt  time.Duration
+	extra   bucket
+	taken   window
+	agains  window
 
 	reach, shards, bundle, tries, holdMost int
 	copies, advice, ask                    bool
@@ -250,6 +252,10 @@
 	m.byNo[no] = i
 	m.held++
 	m.taken.add(m.now, m.budSpan)
+	// Wakes of its own: the beat is too coarse for a scan none of whose dispatches reports the time.
+	token := uint64(m.scans.gen[i])<<32 | uint64(i+1)
+	m.act.Wake(sc.target, token)
+	m.act.Wake(sc.end, token)
 	if parts <= 0 {
 		m.giveUp(i)
 	}
@@ -342,7 +348,6 @@
 	fair := m.fair(sc)
 	for _, pi := range sc.parts[sc.first:] {
 		m.extra.level = min(extraBrim, m.extra.level+extraShare)
-		m.sent++
 		m.dispatch(pi, fair)
 	}
 	m.judge(si)
@@ -382,13 +387,10 @@
 	if s.started == LongAgo || m.now-s.started >= m.coldFor+m.fallSpan {
 		return true
 	}
-	n := 0
-	for c := range m.cells {
-		n += len(m.cells[c])
-	}
 	span := m.fallSpan.Seconds()
-	budget := max(1, coldMargin*m.fallMult*m.warmth(s)*m.sends.v/float64(max(n, 1))*span)
-	return s.cold.fill(m.now, budget/2/span, max(1, budget/2)) >= 1
+	budget := max(coldLeast, coldMargin*m.fallMult*m.warmth(s)*m.carried*span)
+	brim := max(1, budget/4)
+	return s.cold.fill(m.now, (budget-brim)/span, brim) >= 1
 }
 
 // weigh is a searcher's latency as the replica rule sees it.
@@ -749,6 +751,7 @@
 	x := took.Seconds()
 	switch out {
 	case Pass:
+		m.passed++
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
 		m.cls[p.class].lat.add(x, gainLat)
 	case Fault:
@@ -810,12 +813,24 @@
 
 // Woke is the beat: shares move, late parts go elsewhere, what waits is looked at again.
 func (m *Mixer) Woke(token uint64) {
+	if token != 0 {
+		if i := int32(uint32(token)) - 1; m.scans.holds(i, uint32(token>>32)) {
+			m.scans.at[i].next(m, i, result{part: -1})
+		}
+		return
+	}
 	m.act.Wake(m.now+beat, 0)
 	dt := (m.now - m.beatAt).Seconds()
 	m.beatAt = m.now
 	if dt > 0 {
-		m.sends.add(float64(m.sent)/dt, min(1, dt/8))
-		m.sent = 0
+		// The most that a searcher was lately seen to carry for this mixer, forgotten slowly.
+		n := 0
+		for c := range m.cells {
+			n += len(m.cells[c])
+		}
+		m.served.add(float64(m.passed)/dt/float64(max(n, 1)), min(1, dt/4))
+		m.carried = max(m.carried*(1-dt/20), m.served.v)
+		m.passed = 0
 	}
 	if m.ask && m.askAt > 0 && m.now >= m.askAt {
 		m.askList()
