--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,6 +18,7 @@
 	clip       = 3.0                   // one sample counts as this many times the mean at most
 	narrowRate = 0.6                   // share given up a second at the threshold
 	widenRate  = 0.12                  // share regained a second
+	admitShare = 0.5                   // of the time left to the target that a part may be expected to take
 	missCut    = 0.8                   // a missed target pulls the threshold to this share of the latency
 	missFloor  = 0.15                  // of the target; the threshold goes no lower
 	missBack   = 0.02                  // share of the target that the threshold regains a second
@@ -129,7 +130,10 @@
 	lat     smooth // seconds
 	dev     smooth
 	avg     float64
-	served  smooth // passes a second and searcher
+	out     int    // parts out
+	ready   int    // searchers that may be sent to
+	rate    smooth // passes a second
+	served  smooth // the same for each ready searcher, slower
 	passed  int
 	carried float64
 	beatAt  time.Duration
@@ -218,6 +222,7 @@
 	for c := range m.cells {
 		m.cells[c] = m.cells[c][:0]
 	}
+	m.ready = 0
 	for i := range m.srvs {
 		s := &m.srvs[i]
 		if (mode == Whole || mode == Remembered) && !s.listed {
@@ -225,6 +230,7 @@
 		}
 		if s.known && s.state == Ready && s.cell >= 0 && s.cell < len(m.cells) {
 			m.cells[s.cell] = append(m.cells[s.cell], int32(i))
+			m.ready++
 		}
 	}
 	m.average()
@@ -306,10 +312,18 @@
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
-	if m.lat.heard && c.LateShare < 0.5 && m.lat.v > left {
-		return false
+	return m.wait() < min(admitShare*left, c.thr)
+}
+
+// wait is the part latency to come, by Little's law: parts out over parts passed a second. It guards against
+// a burst that the smoothed latency sees too late, and against a slow spell remembered for ever once nothing
+// is sent: with nothing out it is nothing. It could harm where others' load makes this mixer's pass rate fall
+// while its own parts are few; the peak carried lately bounds that.
+func (m *Mixer) wait() float64 {
+	if m.carried == 0 {
+		return 0
 	}
-	return true
+	return float64(m.out) / max(m.rate.v, m.carried*float64(m.ready)/2)
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
@@ -477,6 +491,7 @@
 		s.since = m.now
 	}
 	s.parts++
+	m.out++
 	s.cold.level--
 	if again {
 		m.agains.add(m.now, m.budSpan)
@@ -740,6 +755,7 @@
 func (m *Mixer) learn(p *part, t *try, out Outcome, took time.Duration) {
 	s := &m.srvs[t.srv]
 	s.parts--
+	m.out--
 	k := &m.calls.at[t.call]
 	if k.left--; k.left == 0 {
 		s.out--
@@ -773,7 +789,8 @@
 	case NoRoom:
 		s.since = m.now
 		s.box = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
-		return
+		// A quick refusal must not read as nothing: a full searcher is a slow one.
+		x = max(x, 2*m.lat.v, 2*s.lat.v)
 	case NoRoute, Cut:
 		s.fails++
 		m.lock(s)
@@ -824,13 +841,15 @@
 	m.beatAt = m.now
 	if dt > 0 {
 		// The most that a searcher was lately seen to carry for this mixer, forgotten slowly.
-		n := 0
-		for c := range m.cells {
-			n += len(m.cells[c])
-		}
-		m.served.add(float64(m.passed)/dt/float64(max(n, 1)), min(1, dt/4))
+		pace := float64(m.passed) / dt
+		m.rate.add(pace, min(1, dt))
+		m.served.add(pace/float64(max(m.ready, 1)), min(1, dt/4))
 		m.carried = max(m.carried*(1-dt/20), m.served.v)
 		m.passed = 0
+		if m.out == 0 {
+			// Without news an old slow spell fades, or nothing would ever be asked again.
+			m.lat.v *= 1 - min(1, dt)
+		}
 	}
 	if m.ask && m.askAt > 0 && m.now >= m.askAt {
 		m.askList()
