--- a/brain/brain.go
+++ b/brain/brain.go
@@ -315,15 +315,15 @@
 	return m.wait() < min(admitShare*left, c.thr)
 }
 
-// wait is the part latency to come, by Little's law: parts out over parts passed a second. It guards against
-// a burst that the smoothed latency sees too late, and against a slow spell remembered for ever once nothing
-// is sent: with nothing out it is nothing. It could harm where others' load makes this mixer's pass rate fall
-// while its own parts are few; the peak carried lately bounds that.
+// wait is the part latency to come: the smoothed one, or less where Little's law (parts out over parts passed
+// a second) says less. It guards against a slow spell remembered for ever once nothing is sent: with nothing
+// out it is nothing. Neither alone serves: in quiet hours the pass rate is what is offered, not what could be
+// done. It could harm where other mixers alone keep the searchers busy: the first scans are then let in.
 func (m *Mixer) wait() float64 {
 	if m.carried == 0 {
 		return 0
 	}
-	return float64(m.out) / max(m.rate.v, m.carried*float64(m.ready)/2)
+	return min(m.lat.v, float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
