The longest try seen is forgotten; repeats are told by the clients' mark where there is one

Told from overload by parts out near nothing. Cause sought in the reading of a shorter try as a repeat.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,6 +12,7 @@
 
 // Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
 const (
+	tryFade    = 0.15                  // of the longest try, forgotten a second
 	beat       = 50 * time.Millisecond // how often waiting things are looked at again
 	gainLat    = 0.08                  // smoothing of this mixer's part latency
 	gainSrv    = 0.2                   // smoothing of one searcher's latency
@@ -38,7 +39,8 @@
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
 	lat    smooth
-	tryMax float64 // longest first try seen, as a share of the time-out
+	tryMax float64 // longest try seen lately, as a share of the time-out
+	tryAt  time.Duration
 }
 
 type srv struct {
@@ -127,6 +129,7 @@
 	byID    map[uint64]int32 // parts and scans; scans as ^place
 	byNo    map[uint64]int32
 	held    int
+	marked  bool   // clients mark their repeats here
 	lat     smooth // seconds
 	dev     smooth
 	avg     float64
@@ -244,11 +247,15 @@
 	keep := sc.parts[:0]
 	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), expect: parts, parts: keep, next: gather}
 	// A repeat has used up part of its target time. Its try is shorter than a first one only when the whole
-	// time-out binds, so what is missing from the longest try seen tells how much, at least.
+	// time-out binds, so what is missing from the longest try seen lately tells how much, at least. Lately:
+	// against clients that all at once wait less, whose first tries would look like repeats for good. Where
+	// clients mark repeats an unmarked scan is none.
 	share := left.Seconds() / c.Timeout.Seconds()
-	c.tryMax = max(c.tryMax, share)
+	c.tryMax = max(share, c.tryMax*(1-tryFade*(m.now-c.tryAt).Seconds()))
+	c.tryAt = m.now
+	m.marked = m.marked || repeat
 	var used time.Duration
-	if share < 0.98*c.tryMax {
+	if share < 0.98*c.tryMax && (repeat || !m.marked) {
 		used = c.Timeout - left
 	}
 	target := min(c.Timeout, c.Target+time.Duration(c.Stretch*float64(work)))
