Only marked repeats count as having used up target time; target ends with the client's try

Symptom: from 0:15 most scans throttled while searchers idle. Cause: clients began to wait far less (debtor-check tries of 0.3 to 0.7 s beside 1.48 s); a short try was read as a repeat whose target had passed. Told from overload by few parts out, from a list fault by passes all along. Change: unmarked scans are never taken for repeats; marked ones only while first tries are of one length.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,7 +12,6 @@
 
 // Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
 const (
-	tryFade    = 0.15                  // of the longest try, forgotten a second
 	beat       = 50 * time.Millisecond // how often waiting things are looked at again
 	gainLat    = 0.08                  // smoothing of this mixer's part latency
 	gainSrv    = 0.2                   // smoothing of one searcher's latency
@@ -39,8 +38,8 @@
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
 	lat    smooth
-	tryMax float64 // longest try seen lately, as a share of the time-out
-	tryAt  time.Duration
+	tryMax float64 // longest try seen, as a share of the time-out
+	short  smooth  // share of first tries that were shorter
 }
 
 type srv struct {
@@ -246,21 +245,21 @@
 	c := &m.cls[cl]
 	keep := sc.parts[:0]
 	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), expect: parts, parts: keep, next: gather}
-	// A repeat has used up part of its target time. Its try is shorter than a first one only when the whole
-	// time-out binds, so what is missing from the longest try seen lately tells how much, at least. Lately:
-	// against clients that all at once wait less, whose first tries would look like repeats for good. Where
-	// clients mark repeats an unmarked scan is none.
+	// A repeat has used up part of its target time: what is missing from a first try's length tells how much.
+	// Only a marked one is held to that, and only while first tries are of one length: against clients that
+	// all at once wait less, whose tries are short but still worth their full benefit.
 	share := left.Seconds() / c.Timeout.Seconds()
-	c.tryMax = max(share, c.tryMax*(1-tryFade*(m.now-c.tryAt).Seconds()))
-	c.tryAt = m.now
-	m.marked = m.marked || repeat
+	c.tryMax = max(share, c.tryMax)
+	short := share < 0.98*c.tryMax
 	var used time.Duration
-	if share < 0.98*c.tryMax && (repeat || !m.marked) {
+	if !repeat {
+		c.short.add(float64(b2i(short)), gainLat)
+	} else if short && c.short.v < 0.1 {
 		used = c.Timeout - left
 	}
 	target := min(c.Timeout, c.Target+time.Duration(c.Stretch*float64(work)))
-	sc.target = m.now + target - used - 3*m.round
 	sc.end = m.now + left - 2*m.round
+	sc.target = min(sc.end, m.now+target-used-3*m.round)
 	m.byID[id] = ^i
 	m.byNo[no] = i
 	m.held++
--- a/brain/slab.go
+++ b/brain/slab.go
@@ -128,3 +128,10 @@
 	x ^= x >> 29
 	return float64(x>>11) / (1 << 53)
 }
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
