--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,292 @@
+package brain
+
+import (
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"testing/quick"
+	"time"
+)
+
+// vary draws settings that no single deployment has together.
+func vary(r *rand.Rand) Settings {
+	var ts []TableType
+	for range 3 {
+		t := table()
+		t.Effect = Effect(r.Intn(3))
+		t.Need = []float64{1, 1, 0.7}[r.Intn(3)]
+		t.Floor = []float64{t.Need, 0.4}[r.Intn(2)]
+		t.SecondStep = []int{0, 0, 4}[r.Intn(3)]
+		t.LateShare = []float64{0, 0.3, 1}[r.Intn(3)]
+		t.Timeout = time.Second * time.Duration(1+r.Intn(3))
+		ts = append(ts, t)
+	}
+	s := settings(ts...)
+	s.Cells, s.Shards = 3+r.Intn(3), 12
+	s.SecondCopies, s.RetryAdvice, s.AskFor = r.Intn(2) > 0, r.Intn(2) > 0, r.Intn(2) > 0
+	s.PartsPerCall = 1 + 3*r.Intn(2)
+	s.MaxTries = 1 + r.Intn(4)
+	if r.Intn(2) > 0 {
+		s.Budgeted, s.BudgetFree, s.BudgetShare, s.BudgetSpan = true, float64(r.Intn(3)), 0.05, time.Second
+	}
+	return s
+}
+
+// trouble changes something on the searcher side or the list.
+func trouble(w *world) {
+	i := w.r.Intn(len(w.srvs))
+	s := &w.srvs[i]
+	switch w.r.Intn(7) {
+	case 0:
+		s.mood = Outcome(w.r.Intn(int(Undone)))
+	case 1:
+		s.mood, s.speed = Pass, 1
+	case 2:
+		s.speed = 1 + 20*w.r.Float64()
+	case 3:
+		w.tell(i, Draining, s.start)
+	case 4:
+		w.tell(i, Ready, w.now)
+	case 5:
+		w.tell(i, Gone, s.start)
+	case 6:
+		w.list(Whole)
+		w.m.ListBegin(Failed)
+	}
+}
+
+func TestRulesHoldInAnyWeather(t *testing.T) {
+	f := func(seed int64) bool {
+		r := rand.New(rand.NewSource(seed))
+		w := newWorld(vary(r), seed, 2)
+		w.moody = true
+		for w.now < 20*time.Second && w.broken == "" {
+			w.run(time.Duration(5+r.Intn(60)) * tms)
+			n := 1 + r.Intn(8)
+			ss, ws := even(n, w.set.Shards)
+			if r.Intn(2) > 0 { // a heavy head
+				for i := range ws {
+					ws[i] = []float64{0.5, 0.5 / float64(max(1, n-1))}[min(i, 1)]
+				}
+				ws[0] = max(ws[0], 1-float64(n-1)*ws[n-1])
+			}
+			cl := r.Intn(3)
+			id := w.scan(cl, time.Duration(float64(w.set.Types[cl].Timeout)*(0.1+0.9*r.Float64())), ss, ws)
+			if r.Intn(20) == 0 {
+				trouble(w)
+			}
+			if sc := w.scans[id]; r.Intn(40) == 0 && !sc.ended {
+				w.over(sc)
+				w.m.Left(id)
+			}
+		}
+		w.run(4 * time.Second)
+		if w.broken == "" && (w.m.held != 0 || w.m.out != 0 || len(w.m.byID)+len(w.m.byNo) != 0) {
+			w.fail("%d held, %d out, %d known after the end", w.m.held, w.m.out, len(w.m.byID))
+		}
+		if w.broken != "" {
+			t.Logf("seed %d: %s", seed, w.broken)
+		}
+		return w.broken == ""
+	}
+	if err := quick.Check(f, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	day := func() string {
+		w := newWorld(vary(rand.New(rand.NewSource(5))), 5, 2)
+		w.moody = true
+		for range 200 {
+			w.run(30 * tms)
+			ss, ws := even(5, w.set.Shards)
+			w.scan(0, time.Second, ss, ws)
+			trouble(w)
+		}
+		return strings.Join(w.log, "\n")
+	}
+	if a, b := day(), day(); a != b || a == "" {
+		t.Error("two runs of the same events differ")
+	}
+}
+
+// load sends scans of n parts at a steady pace, for a while.
+func load(w *world, cl, n int, every, during time.Duration) {
+	for end := w.now + during; w.now < end; w.run(every) {
+		ss, ws := even(n, w.set.Shards)
+		w.scan(cl, w.set.Types[cl].Timeout, ss, ws)
+	}
+}
+
+func partial() TableType {
+	t := table()
+	t.Floor = 0.4
+	return t
+}
+
+func TestHeaviestGoFirstAndShareFollowsLatency(t *testing.T) {
+	w := newWorld(settings(partial()), 1, 2)
+	load(w, 0, 8, 50*tms, 3*time.Second)
+	if w.m.cls[0].share != 1 {
+		t.Fatalf("share %v on a quiet day", w.m.cls[0].share)
+	}
+	for i := range w.srvs {
+		w.srvs[i].speed = 40
+	}
+	load(w, 0, 8, 50*tms, 3*time.Second)
+	narrow := w.m.cls[0].share
+	if narrow > 0.9 || narrow < 0.4 {
+		t.Fatalf("share %v under load", narrow)
+	}
+	for i := range w.srvs {
+		w.srvs[i].speed = 1
+	}
+	w.log = nil
+	w.m.cls[0].share = 0.6
+	id := w.scan(0, time.Second, []int{0, 1, 2, 3}, []float64{0.1, 0.5, 0.15, 0.25})
+	sent := []int{}
+	for i, p := range w.scans[id].parts {
+		if len(w.parts[p].tries) > 0 {
+			sent = append(sent, i)
+		}
+	}
+	if !slices.Equal(sent, []int{1, 3}) {
+		t.Errorf("sent %v of the parts, not the heaviest 0.6", sent)
+	}
+	w.run(15 * time.Second)
+	if w.m.cls[0].share < 0.99 {
+		t.Errorf("share %v long after the load", w.m.cls[0].share)
+	}
+}
+
+func TestReplicaOfLeastLatencyTimesPartsOut(t *testing.T) {
+	w := newWorld(settings(table()), 1, 1)
+	for i, lat := range []float64{0.1, 0.25} { // cells 0 and 1 hold shard 0
+		w.m.srvs[i].lat = smooth{v: lat, heard: true}
+	}
+	w.m.average()
+	var got []int32
+	for range 4 {
+		id := w.scan(0, 2*time.Second, []int{0}, []float64{1})
+		got = append(got, w.m.parts.at[w.m.byID[w.scans[id].parts[0]]].tries[0].srv)
+	}
+	if !slices.Equal(got, []int32{0, 0, 1, 0}) {
+		t.Errorf("chose %v", got)
+	}
+	if x := w.m.weigh(&w.m.srvs[2]); x != w.m.avg {
+		t.Errorf("an unheard replica weighs %v, not the average", x)
+	}
+}
+
+// Clients that suddenly wait less were taken for repeats and throttled for good (docs/incidents).
+func TestShortTriesAreServed(t *testing.T) {
+	w := newWorld(settings(table()), 1, 2)
+	load(w, 0, 3, 50*tms, time.Second)
+	w.log = nil
+	for range 20 {
+		ss, ws := even(3, 8)
+		w.scan(0, 400*tms, ss, ws)
+		w.run(50 * tms)
+	}
+	if strings.Contains(strings.Join(w.log, "\n"), "throttle") {
+		t.Error("a short first try was throttled")
+	}
+}
+
+// After a slow spell nothing was let in for ever: the remembered latency was never renewed (docs/incidents).
+func TestServiceComesBackAfterASlowSpell(t *testing.T) {
+	w := newWorld(settings(table()), 1, 2)
+	load(w, 0, 4, 50*tms, time.Second)
+	for i := range w.srvs {
+		w.srvs[i].speed = 60
+	}
+	load(w, 0, 4, 50*tms, 5*time.Second)
+	for i := range w.srvs {
+		w.srvs[i].speed = 1
+	}
+	w.run(3 * time.Second)
+	w.log = nil
+	load(w, 0, 4, 50*tms, time.Second)
+	w.run(time.Second)
+	if n := strings.Count(strings.Join(w.log, "\n"), "complete true"); n < 18 {
+		t.Errorf("%d of 20 scans completed after the spell", n)
+	}
+}
+
+func TestSilentSearcherIsLeftAlone(t *testing.T) {
+	w := newWorld(settings(table()), 1, 2)
+	load(w, 0, 4, 50*tms, 2*time.Second)
+	w.srvs[0].mood = TooSlow
+	load(w, 0, 4, 50*tms, time.Second)
+	w.log = nil
+	load(w, 0, 4, 50*tms, 2*time.Second)
+	w.run(2 * time.Second)
+	text := strings.Join(w.log, "\n") + "\n"
+	if n := strings.Count(text, " 0\n"); n > 12 {
+		t.Errorf("%d parts to the searcher that answers none", n)
+	}
+	if n := strings.Count(text, "complete true"); n < 38 {
+		t.Errorf("%d of 40 completed", n)
+	}
+}
+
+func TestListIsAskedAgainAfterAnError(t *testing.T) {
+	s := settings(table())
+	s.AskFor = true
+	w := newWorld(s, 1, 1)
+	w.m.ListBegin(Failed)
+	before := w.asked
+	w.run(100 * tms)
+	early := w.asked
+	w.run(2 * time.Second)
+	if before != 1 || early != 1 || w.asked != 2 {
+		t.Errorf("asked %d, %d, %d times", before, early, w.asked)
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	s := settings(partial())
+	idle := &still{}
+	m := New(s, idle, 0)
+	m.ListBegin(Whole)
+	for i := range 8 {
+		m.ListEntry(i, Ready, 1, LongAgo, i%4)
+	}
+	m.ListEnd(Whole)
+	id, now := uint64(0), time.Duration(0)
+	one := func() {
+		now += 100 * tms
+		m.At(now)
+		id += 10
+		m.Scan(id, id, 0, -1, time.Second, 0, 5, false)
+		for k := range uint64(5) {
+			m.Part(id+1+k, id, int(k), 0.2)
+		}
+		m.At(now + 30*tms)
+		for k := range uint64(5) {
+			m.Returned(id+1+k, 0, Pass, 30*tms)
+		}
+		m.Woke(0)
+	}
+	for range 200 {
+		one()
+	}
+	if n := testing.AllocsPerRun(500, one); n != 0 {
+		t.Errorf("%v allocations a scan", n)
+	}
+	if idle.done < 700 {
+		t.Errorf("%d scans completed", idle.done)
+	}
+}
+
+type still struct{ done int }
+
+func (s *still) Dispatch(uint64, int, time.Duration) {}
+func (s *still) Cancel(uint64, int)                  {}
+func (s *still) Complete(uint64, bool)               { s.done++ }
+func (s *still) Throttle(uint64, time.Duration)      {}
+func (s *still) Abandon(uint64)                      {}
+func (s *still) Wake(time.Duration, uint64)          {}
+func (s *still) Subscribe()                          {}
--- /dev/null
+++ b/internal/simwire/wire_test.go
@@ -0,0 +1,82 @@
+package simwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const told = "balancers=2 discovery=push domain.bundleMax=1 domain.callCost=0.0 domain.floorByClass=0.6,1.0 " +
+	"domain.places=2 domain.ranges=4 domain.secondStep=0,0 domain.shortWorth=0.95,0.9 domain.wholeAt=1.0,1.0 " +
+	"domain.width=2 granularity=5.0 limits.attemptsCap=3 limits.maxOpen=112 limits.maxRetryAfter=2000.0 " +
+	"limits.retryAfter=true limits.secondCopies=true me=0 parties.count=0 requestClasses.count=2 " +
+	"requestClasses.0.deadline=5000.0 requestClasses.0.lateWorth=0.3 requestClasses.0.name=wide " +
+	"requestClasses.0.objective=2500.0 requestClasses.0.points=3.0 requestClasses.0.semantics=free " +
+	"requestClasses.1.deadline=5000.0 requestClasses.1.lateWorth=0.3 requestClasses.1.name=narrow " +
+	"requestClasses.1.objective=2000.0 requestClasses.1.points=1.0 requestClasses.1.semantics=free " +
+	"rules.answerSlack=20.0 rules.askEvery=10000.0 rules.cold=18000.0 rules.drainGrace=2000.0 rules.fall=3000.0 " +
+	"rules.fallMultiple=2.5 rules.startCapacity=0.21 somethingNew=7"
+
+const start = "ROUND 1000\nPROVISION mixer-3 77 " + told + "\nDEFINE_LIST 0 2\n" +
+	"ITEM ready 1 - 0 10.0.0.1:9 a k\nITEM ready 1 0 1 10.0.0.2:9 a k\nENDPOINTS mixer-3 disk 41 0\nCOMMIT\n"
+
+const scan = "ROUND 1005\nREQUEST mixer-3 900 narrow - - 4000 - 1 -1 1 0 0\n" +
+	"REQUEST mixer-3 901 narrow - - 4000 - 1 2 1 0 0\nCOMMIT\n"
+
+func talk(in string) (string, error) {
+	var out bytes.Buffer
+	err := Run(strings.NewReader(in), &out)
+	return out.String(), err
+}
+
+func TestAScanThereAndBack(t *testing.T) {
+	got, err := talk("ROUND 1000\nCOMMIT\n" + start + scan +
+		"ROUND 1105.25\nRETURNED mixer-3 901 0 10.0.0.1:9 pass 100.25 1 -\nABANDONED mixer-3 900\n" +
+		"RETURNED mixer-3 555 0 10.0.0.1:9 fault 1 1 -\nTIMEOUT_FIRED mixer-3 4294967297\nCOMMIT\n" +
+		"ROUND 1110\nDETACH mixer-3\nPROVISION mixer-3 78 " + told + "\nCOMMIT\n")
+	want := "READY\nAFTER mixer-3 1050 0\nREADY\n" +
+		"AFTER mixer-3 2990 1\nAFTER mixer-3 4995 1\nCALL_OUT mixer-3 901 4995 10.0.0.1:9\nREADY\n" +
+		"SETTLE_QUERY mixer-3 900 1\nREADY\nAFTER mixer-3 1160 0\nREADY\n"
+	if err != nil || got != want {
+		t.Errorf("error %v, reply\n%s", err, got)
+	}
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	for in, want := range map[string]string{
+		"ROUND x\n":                      "line 1: unreadable",
+		"ROUND 1\nHELLO mixer-3\n":       "line 2: unknown word",
+		"ROUND 1\nABANDONED mixer-3 4\n": "line 2: instance not provisioned",
+		"ROUND 1\nABANDONED mixer-3\n":   "line 2: wrong number",
+		"COMMIT\n":                       "line 1: out of place",
+		"ROUND 1\n":                      "input ended",
+		strings.Replace(start, "domain.width=2", "domain.width=two", 1): "setting domain.width: unreadable",
+		strings.Replace(start, "rules.cold=18000.0 ", "", 1):            "setting rules.cold: missing",
+		start + "ROUND 1001\nENDPOINTS mixer-3 diff 1 7\nCOMMIT\n":      "list not defined",
+	} {
+		if _, err := talk(in); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.40q...: error %v, not %q", in, err, want)
+		}
+	}
+}
+
+func TestAPanicEndsTheInstanceOnly(t *testing.T) {
+	got, err := talk(start + "ROUND 1005\nREQUEST mixer-3 1 narrow - - 4000 - 1 -1 1 0 0\n" +
+		"REQUEST mixer-3 2 narrow - - 4000 - 1 2 1 0 0\nRETURNED mixer-3 2 0 10.0.0.1:9 pass 1 1 -\nCOMMIT\n")
+	if err != nil || strings.Contains(got, "DIE") {
+		t.Errorf("%v\n%s", err, got)
+	}
+	h := &host{insts: map[string]*inst{"mixer-3": {name: "mixer-3"}}, open: true}
+	if err := h.take([]byte("TIMEOUT_FIRED mixer-3 0")); err != nil || !strings.HasPrefix(h.out.String(), "DIE mixer-3 runtime error") {
+		t.Errorf("%v %q", err, h.out.String())
+	}
+}
+
+func TestListsAreReusedInOrder(t *testing.T) {
+	got, err := talk(start + "ROUND 1001\nDEFINE_LIST 0 1\nITEM gone 1 - 0 10.0.0.1:9 a k\n" +
+		"ENDPOINTS mixer-3 diff 42 0\nDEFINE_LIST 0 1\nITEM ready 1 - 1 10.0.0.3:9 a k\n" +
+		"ENDPOINTS mixer-3 diff 43 0\nCOMMIT\n" + scan)
+	if err != nil || !strings.Contains(got, "CALL_OUT mixer-3 901 4995 10.0.0.2:9") {
+		t.Errorf("%v\n%s", err, got)
+	}
+}
