--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,9 +19,8 @@
 	narrowRate = 0.6                   // share given up a second at the threshold
 	widenRate  = 0.12                  // share regained a second
 	admitShare = 0.5                   // of the time left to the target that a part may be expected to take
-	missCut    = 0.8                   // a missed target pulls the threshold to this share of the latency
-	missFloor  = 0.15                  // of the target; the threshold goes no lower
-	missBack   = 0.02                  // share of the target that the threshold regains a second
+	thrShare   = 0.9                   // of the target that a scan at the threshold should take
+	ratioMost  = 6.0                   // longest a scan is held to take, in part latencies
 	hedgeDevs  = 3.0                   // mean deviations past the mean at which a part counts as late
 	silentLats = 2.5                   // a searcher silent for so many part latencies counts as stuck
 	extraShare = 0.15                  // further dispatches allowed for each first one
@@ -38,6 +37,7 @@
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
 	lat    smooth
+	ratio  smooth  // a scan's time in part latencies
 	tryMax float64 // longest try seen, as a share of the time-out
 	short  smooth  // share of first tries that were shorter
 }
@@ -94,6 +94,7 @@
 	id, no    uint64
 	class     int32
 	tenant    int32
+	at        time.Duration
 	target    time.Duration
 	end       time.Duration
 	expect    int
@@ -244,7 +245,7 @@
 	sc := &m.scans.at[i]
 	c := &m.cls[cl]
 	keep := sc.parts[:0]
-	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), expect: parts, parts: keep, next: gather}
+	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), at: m.now, expect: parts, parts: keep, next: gather}
 	// A repeat has used up part of its target time: what is missing from a first try's length tells how much.
 	// Only a marked one is held to that, and only while first tries are of one length: against clients that
 	// all at once wait less, whose tries are short but still worth their full benefit.
@@ -657,10 +658,8 @@
 		m.giveUp(si)
 	case m.now >= m.cutAt(sc):
 		if sc.got >= floor-eps {
-			m.missed(c)
 			m.complete(si, false)
 		} else if c.LateShare == 0 && m.now >= sc.target {
-			m.missed(c)
 			m.giveUp(si)
 		}
 	}
@@ -675,10 +674,16 @@
 	return at
 }
 
-// missed lowers the threshold to the latency at which the class began to miss its target.
-func (m *Mixer) missed(c *class) {
-	target := c.Target.Seconds()
-	c.thr = max(missFloor*target, min(c.thr, missCut*m.lat.v))
+// stretch learns how much longer than a part a scan of this class takes, and sets the threshold to the part
+// latency at which such a scan would just meet its target. Till then the threshold is the target itself.
+// Cut scans count with the time they had, so that a run of misses lowers the threshold as well.
+func (m *Mixer) stretch(sc *scan) {
+	c := &m.cls[sc.class]
+	if m.lat.v <= 0 {
+		return
+	}
+	c.ratio.add(min(ratioMost, max(1, (m.now-sc.at).Seconds()/m.lat.v)), gainLat)
+	c.thr = c.Target.Seconds() * min(1, thrShare/c.ratio.v)
 }
 
 func (m *Mixer) complete(si int32, whole bool) {
@@ -726,6 +731,9 @@
 
 func (m *Mixer) finish(si int32) {
 	sc := &m.scans.at[si]
+	if m.now > sc.at {
+		m.stretch(sc)
+	}
 	delete(m.byID, sc.id)
 	delete(m.byNo, sc.no)
 	for _, pi := range sc.parts[sc.first:] {
@@ -862,7 +870,6 @@
 	}
 	for i := range m.cls {
 		c := &m.cls[i]
-		c.thr = min(c.Target.Seconds(), c.thr+missBack*dt*c.Target.Seconds())
 		if m.lat.v > c.thr {
 			c.share -= narrowRate * dt * min(2, m.lat.v/c.thr)
 		} else {
