--- a/brain/brain.go
+++ b/brain/brain.go
@@ -504,7 +504,7 @@
 		m.agains.add(m.now, m.budSpan)
 	}
 	until := sc.end
-	if c := &m.cls[sc.class]; c.LateShare == 0 || c.Floor < c.Need {
+	if m.cls[sc.class].LateShare == 0 {
 		until = min(until, sc.target)
 	}
 	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, out: true})
