--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,8 +18,8 @@
 	clip       = 3.0                   // one sample counts as this many times the mean at most
 	narrowRate = 0.6                   // share given up a second at the threshold
 	widenRate  = 0.12                  // share regained a second
-	admitShare = 1.0                   // of the time left to the target that a scan may be expected to take
-	thrShare   = 0.6                   // of the target that a scan at the threshold should take
+	admitShare = 0.5                   // of the time left to the target that a part may be expected to take
+	thrShare   = 0.9                   // of the target that a scan at the threshold should take
 	ratioMost  = 6.0                   // longest a scan is held to take, in part latencies
 	hedgeDevs  = 3.0                   // mean deviations past the mean at which a part counts as late
 	silentLats = 2.5                   // a searcher silent for so many part latencies counts as stuck
@@ -319,7 +319,7 @@
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
-	return m.wait()*max(1, c.ratio.v) < admitShare*left
+	return m.wait() < min(admitShare*left, c.thr)
 }
 
 // wait is the part latency to come: the smoothed one, or less where Little's law (parts out over parts passed
