--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,9 +18,10 @@
 	clip       = 3.0                   // one sample counts as this many times the mean at most
 	narrowRate = 0.6                   // share given up a second at the threshold
 	widenRate  = 0.12                  // share regained a second
-	admitShare = 0.5                   // of the time left to the target that a part may be expected to take
-	thrShare   = 0.9                   // of the target that a scan at the threshold should take
-	ratioMost  = 6.0                   // longest a scan is held to take, in part latencies
+	nearShare  = 0.6                   // of its target: a scan that took longer moves the threshold
+	nearGain   = 0.3                   // of the way, for each such scan
+	nearBack   = 0.02                  // of the way back to the target, for each other scan
+	thrLeast   = 0.1                   // of the target; the threshold goes no lower
 	hedgeDevs  = 3.0                   // mean deviations past the mean at which a part counts as late
 	silentLats = 2.5                   // a searcher silent for so many part latencies counts as stuck
 	extraShare = 0.15                  // further dispatches allowed for each first one
@@ -37,7 +38,6 @@
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
 	lat    smooth
-	ratio  smooth  // a scan's time in part latencies
 	tryMax float64 // longest try seen, as a share of the time-out
 	short  smooth  // share of first tries that were shorter
 }
@@ -319,7 +319,7 @@
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
-	return m.wait() < min(admitShare*left, c.thr)
+	return m.wait()*nearShare*c.Target.Seconds()/c.thr < left
 }
 
 // wait is the part latency to come: the smoothed one, or less where Little's law (parts out over parts passed
@@ -674,16 +674,17 @@
 	return at
 }
 
-// stretch learns how much longer than a part a scan of this class takes, and sets the threshold to the part
-// latency at which such a scan would just meet its target. Till then the threshold is the target itself.
-// Cut scans count with the time they had, so that a run of misses lowers the threshold as well.
+// stretch moves the threshold. A scan that took much of its target shows the part latency at which scans of its
+// class get there; without such scans the threshold drifts back to the target, where it began. Quick scans
+// teach nothing: at low latency a wide scan takes many part latencies by spread alone.
 func (m *Mixer) stretch(sc *scan) {
 	c := &m.cls[sc.class]
-	if m.lat.v <= 0 {
-		return
+	target := c.Target.Seconds()
+	if d := (m.now - sc.at).Seconds() / target; d > nearShare {
+		c.thr -= nearGain * max(0, c.thr-max(thrLeast*target, m.lat.v*nearShare/d))
+	} else {
+		c.thr += nearBack * (target - c.thr)
 	}
-	c.ratio.add(min(ratioMost, max(1, (m.now-sc.at).Seconds()/m.lat.v)), gainLat)
-	c.thr = c.Target.Seconds() * min(1, thrShare/c.ratio.v)
 }
 
 func (m *Mixer) complete(si int32, whole bool) {
