--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,6 @@
 	started time.Duration
 	lat     smooth
 	heard   time.Duration // last answer
-	latest  time.Duration // when the latest of the parts that passed was sent
 	since   time.Duration // last sign of life, or when the first of the present parts went out
 	out     int           // calls out
 	parts   int           // parts out
@@ -70,9 +69,8 @@
 type try struct {
 	srv, call int32
 	at        time.Duration
-	until     time.Duration
 	out       bool
-	late      bool // counted as lost while still out
+	mayRun    bool
 }
 
 type part struct {
@@ -509,7 +507,7 @@
 	if m.cls[sc.class].LateShare == 0 {
 		until = min(until, sc.target)
 	}
-	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, until: until, out: true})
+	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, out: true})
 	p.live++
 	m.act.Dispatch(p.id, int(i), max(until, m.now+m.round))
 	return true
@@ -566,6 +564,7 @@
 	p.live--
 	m.learn(p, t, out, took)
 	if out != NoRoom && out != NoRoute && out != Stale {
+		t.mayRun = true
 		if !p.may || t.at < p.mayAt {
 			p.mayAt = t.at
 		}
@@ -784,7 +783,6 @@
 	switch out {
 	case Pass:
 		m.passed++
-		s.latest = max(s.latest, t.at)
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
 		m.cls[p.class].lat.add(x, gainLat)
 	case Fault:
@@ -796,13 +794,13 @@
 		}
 		x = max(x, m.weigh(s), m.avg)
 	case TooSlow, Undone:
+		if !s.lat.heard || x < s.lat.v {
+			return
+		}
 		if t.at >= s.since || m.stuck(s) {
 			s.fails++
 			m.lock(s)
 		}
-		if !s.lat.heard || x < s.lat.v || t.late {
-			return
-		}
 	case NoRoom:
 		s.since = m.now
 		s.box = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
@@ -902,16 +900,7 @@
 		}
 		t := &p.tries[len(p.tries)-1]
 		age := (m.now - t.at).Seconds()
-		s := &m.srvs[t.srv]
-		stuck := m.stuck(s)
-		if m.lat.heard && age > late && !t.late && (s.latest-t.at).Seconds() > m.lat.v {
-			// Against a searcher that answers some parts fast and others never: the answers alone would make
-			// it the best of all. A part overtaken by much later ones reads as lost. It also guards against lost
-			// messages; a searcher that serves out of order could be avoided without need.
-			t.late = true
-			s.lat.add((t.until - t.at).Seconds(), gainSrv)
-			m.average()
-		}
+		stuck := m.stuck(&m.srvs[t.srv])
 		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
 			continue
 		}
