--- a/brain/brain.go
+++ b/brain/brain.go
@@ -133,9 +133,6 @@
 	lat     smooth // seconds
 	dev     smooth
 	avg     float64
-	press   float64 // smoothed latency, or what the parts still out show if that is more
-	ages    float64
-	aged    int
 	out     int    // parts out
 	ready   int    // searchers that may be sent to
 	rate    smooth // passes a second
@@ -333,7 +330,7 @@
 	if m.carried == 0 {
 		return 0
 	}
-	return min(m.press, float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
+	return min(m.lat.v, float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
@@ -874,25 +871,18 @@
 	}
 	for i := range m.cls {
 		c := &m.cls[i]
-		if m.press > c.thr {
-			c.share -= narrowRate * dt * min(2, m.press/c.thr)
+		if m.lat.v > c.thr {
+			c.share -= narrowRate * dt * min(2, m.lat.v/c.thr)
 		} else {
 			c.share += widenRate * dt
 		}
 		c.share = min(1, max(c.share, c.Floor))
 	}
-	m.ages, m.aged = 0, 0
 	for i := range m.scans.at {
 		if m.scans.used[i] {
 			m.tend(int32(i))
 		}
 	}
-	// Returns tell of queues a whole latency late. In an even flow parts out are half their latency old, so
-	// twice their age shows a jam while it builds. Clipped, lest a few stuck parts narrow every scan.
-	m.press = m.lat.v
-	if m.aged > 0 {
-		m.press = max(m.press, 2*m.ages/float64(m.aged))
-	}
 }
 
 // tend looks after a scan that waits: parts nobody took yet, and parts that are late.
@@ -901,21 +891,17 @@
 	late := m.lat.v + hedgeDevs*m.dev.v
 	for _, pi := range sc.parts[sc.first:] {
 		p := &m.parts.at[pi]
-		if p.in || p.lost {
+		if p.in || p.lost || !m.worthIt(p, sc) {
 			continue
 		}
 		if p.live == 0 {
-			if m.worthIt(p, sc) {
-				m.again(pi, sc)
-			}
+			m.again(pi, sc)
 			continue
 		}
 		t := &p.tries[len(p.tries)-1]
 		age := (m.now - t.at).Seconds()
-		m.ages += min(age, clip*m.lat.v)
-		m.aged++
 		stuck := m.stuck(&m.srvs[t.srv])
-		if !m.lat.heard || age < late && !stuck || !m.worthIt(p, sc) || m.extra.level < 1 || p.live > 1 {
+		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
 			continue
 		}
 		if m.copies {
