--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,7 +18,7 @@
 	clip       = 3.0                   // one sample counts as this many times the mean at most
 	narrowRate = 0.6                   // share given up a second at the threshold
 	widenRate  = 0.12                  // share regained a second
-	nearShare  = 0.8                   // of its target: a scan that took longer moves the threshold
+	nearShare  = 0.6                   // of its target: a scan that took longer moves the threshold
 	nearGain   = 0.3                   // of the way, for each such scan
 	nearBack   = 0.02                  // of the way back to the target, for each other scan
 	thrLeast   = 0.1                   // of the target; the threshold goes no lower
