--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,7 +16,6 @@
 	gainLat    = 0.08                  // smoothing of this mixer's part latency
 	gainSrv    = 0.2                   // smoothing of one searcher's latency
 	clip       = 3.0                   // one sample counts as this many times the mean at most
-	shareSlack = 0.3                   // beyond all: pressure this short passes without narrowing, as any part left out costs the whole mark
 	narrowRate = 0.6                   // share given up a second at the threshold
 	widenRate  = 0.12                  // share regained a second
 	nearShare  = 0.6                   // of its target: a scan that took longer moves the threshold
@@ -877,7 +876,7 @@
 		} else {
 			c.share += widenRate * dt
 		}
-		c.share = min(1+shareSlack, max(c.share, c.Floor))
+		c.share = min(1, max(c.share, c.Floor))
 	}
 	for i := range m.scans.at {
 		if m.scans.used[i] {
