--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,19 +12,22 @@
 
 // Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
 const (
-	beat       = 50 * time.Millisecond // how often waiting things are looked at again
-	gainLat    = 0.08                  // smoothing of this mixer's part latency
-	gainSrv    = 0.2                   // smoothing of one searcher's latency
-	clip       = 3.0                   // one sample counts as this many times the mean at most
-	narrowRate = 0.6                   // share given up a second at the threshold
-	widenRate  = 0.12                  // share regained a second
-	nearShare  = 0.6                   // of its target: a scan that took longer moves the threshold
-	nearGain   = 0.3                   // of the way, for each such scan
-	nearBack   = 0.02                  // of the way back to the target, for each other scan
-	thrLeast   = 0.1                   // of the target; the threshold goes no lower
-	hedgeDevs  = 3.0                   // mean deviations past the mean at which a part counts as late
-	silentLats = 2.5                   // a searcher silent for so many part latencies counts as stuck
-	extraShare = 0.15                  // further dispatches allowed for each first one
+	beat       = 50 * time.Millisecond  // how often waiting things are looked at again
+	gainLat    = 0.08                   // smoothing of this mixer's part latency
+	gainSrv    = 0.2                    // smoothing of one searcher's latency
+	clip       = 3.0                    // one sample counts as this many times the mean at most
+	narrowRate = 0.6                    // share given up a second at the threshold
+	widenRate  = 0.12                   // share regained a second
+	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
+	nearGain   = 0.3                    // of the way, for each such scan
+	nearBack   = 0.02                   // of the way back to the target, for each other scan
+	thrLeast   = 0.1                    // of the target; the threshold goes no lower
+	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
+	peakFade   = 20 * time.Second
+	knownLeast = 100  // passes before that pace is trusted
+	hedgeDevs  = 3.0  // mean deviations past the mean at which a part counts as late
+	silentLats = 2.5  // a searcher silent for so many part latencies counts as stuck
+	extraShare = 0.15 // further dispatches allowed for each first one
 	extraBrim  = 30.0
 	boxFirst   = 250 * time.Millisecond
 	boxMost    = 4 * time.Second
@@ -133,10 +136,13 @@
 	lat     smooth // seconds
 	dev     smooth
 	avg     float64
-	out     int    // parts out
-	ready   int    // searchers that may be sent to
-	rate    smooth // passes a second
-	served  smooth // the same for each ready searcher, slower
+	out     int     // parts out
+	ready   int     // searchers that may be sent to
+	rate    smooth  // passes a second
+	quick   smooth  // the same, over a fraction of a second
+	peak    float64 // the most of that, forgotten slowly
+	known   int     // passes since start
+	served  smooth  // the same for each ready searcher, slower
 	passed  int
 	carried float64
 	beatAt  time.Duration
@@ -322,6 +328,16 @@
 	return m.wait()*nearShare*c.Target.Seconds()/c.thr < left
 }
 
+// press is the smoothed part latency, or, where that is more, what the parts out would take at the best pace
+// seen lately. Returns tell of a jam a whole latency late; this guards the first seconds of a jump in traffic or
+// in the work a scan brings. It could narrow without need after a time in which little was asked.
+func (m *Mixer) press() float64 {
+	if m.known < knownLeast {
+		return m.lat.v
+	}
+	return max(m.lat.v, float64(m.out)/m.peak)
+}
+
 // wait is the part latency to come: the smoothed one, or less where Little's law (parts out over parts passed
 // a second) says less. It guards against a slow spell remembered for ever once nothing is sent: with nothing
 // out it is nothing. Neither alone serves: in quiet hours the pass rate is what is offered, not what could be
@@ -330,7 +346,7 @@
 	if m.carried == 0 {
 		return 0
 	}
-	return min(m.lat.v, float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
+	return min(m.press(), float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
@@ -857,6 +873,9 @@
 	if dt > 0 {
 		// The most that a searcher was lately seen to carry for this mixer, forgotten slowly.
 		pace := float64(m.passed) / dt
+		m.known += m.passed
+		m.quick.add(pace, min(1, dt/quickSpan.Seconds()))
+		m.peak = max(m.peak*(1-dt/peakFade.Seconds()), m.quick.v)
 		m.rate.add(pace, min(1, dt))
 		m.served.add(pace/float64(max(m.ready, 1)), min(1, dt/4))
 		m.carried = max(m.carried*(1-dt/20), m.served.v)
@@ -871,8 +890,8 @@
 	}
 	for i := range m.cls {
 		c := &m.cls[i]
-		if m.lat.v > c.thr {
-			c.share -= narrowRate * dt * min(2, m.lat.v/c.thr)
+		if press := m.press(); press > c.thr {
+			c.share -= narrowRate * dt * min(2, press/c.thr)
 		} else {
 			c.share += widenRate * dt
 		}
