--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,8 @@
 	narrowRate = 0.6                    // share given up a second at the threshold
 	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
-	nearGain   = 0.3                    // of the way, for each such scan
+	mostShare  = 0.9                   // of a step's parts
+	nearGain   = 0.5                    // of the way, for each such scan
 	nearBack   = 0.02                   // of the way back to the target, for each other scan
 	thrLeast   = 0.1                    // of the target; the threshold goes no lower
 	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
@@ -102,8 +103,10 @@
 	end       time.Duration
 	expect    int
 	step      int
-	whole     bool // the first step's answer was
-	ran       bool // a part of the first step may have run
+	whole     bool          // the first step's answer was
+	most      time.Duration // when most parts of the first step were in
+	taught    bool          // has moved the threshold while in hand
+	ran       bool          // a part of the first step may have run
 	parts     []int32
 	first     int // where the present step's parts begin
 	got, gone float64
@@ -610,6 +613,9 @@
 			p.in = true
 			sc.got += p.weight
 			sc.pass++
+			if sc.most == 0 && float64(sc.pass) >= mostShare*float64(len(sc.parts)-sc.first) {
+				sc.most = m.now
+			}
 		case p.live > 0:
 			return
 		default:
@@ -690,13 +696,24 @@
 	return at
 }
 
+// most is when most parts of the step were in, or now.
+func (m *Mixer) most(sc *scan) time.Duration {
+	if sc.most > 0 {
+		return sc.most
+	}
+	return m.now
+}
+
 // stretch moves the threshold. A scan that took much of its target shows the part latency at which scans of its
 // class get there; without such scans the threshold drifts back to the target, where it began. Quick scans
 // teach nothing: at low latency a wide scan takes many part latencies by spread alone.
+//
+// The time counts at which most parts were in: a few stuck searchers, a pause or a shard without holders make
+// single parts late, and narrowing every scan would not help those.
 func (m *Mixer) stretch(sc *scan) {
 	c := &m.cls[sc.class]
 	target := c.Target.Seconds()
-	if d := (m.now - sc.at).Seconds() / target; d > nearShare {
+	if d := (m.most(sc) - sc.at).Seconds() / target; d > nearShare {
 		c.thr -= nearGain * max(0, c.thr-max(thrLeast*target, m.lat.v*nearShare/d))
 	} else {
 		c.thr += nearBack * (target - c.thr)
@@ -907,6 +924,10 @@
 // tend looks after a scan that waits: parts nobody took yet, and parts that are late.
 func (m *Mixer) tend(si int32) {
 	sc := &m.scans.at[si]
+	if !sc.taught && (m.most(sc)-sc.at).Seconds() > nearShare*m.cls[sc.class].Target.Seconds() {
+		sc.taught = true
+		m.stretch(sc)
+	}
 	late := m.lat.v + hedgeDevs*m.dev.v
 	for _, pi := range sc.parts[sc.first:] {
 		p := &m.parts.at[pi]
