--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,9 +17,9 @@
 	gainSrv    = 0.2                    // smoothing of one searcher's latency
 	clip       = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate = 0.6                    // share given up a second at the threshold
-	widenRate  = 0.3                    // share regained a second
+	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
-	mostShare  = 0.9                    // of a step's parts
+	mostShare  = 0.9                   // of a step's parts
 	nearGain   = 0.5                    // of the way, for each such scan
 	nearBack   = 0.02                   // of the way back to the target, for each other scan
 	thrLeast   = 0.1                    // of the target; the threshold goes no lower
