--- a/brain/brain.go
+++ b/brain/brain.go
@@ -837,8 +837,9 @@
 	case NoRoom:
 		s.since = m.now
 		s.box = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
-		// A quick refusal must not read as nothing: a full searcher is a slow one.
-		x = max(x, 2*m.lat.v, 2*s.lat.v)
+		// A quick refusal must not read as nothing: a full searcher is one that misses the target. No more than
+		// that, or a run of refusals would make every further dispatch look hopeless.
+		x = max(x, m.cls[p.class].Target.Seconds())
 	case NoRoute, Cut:
 		s.fails++
 		m.lock(s)
