--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,7 @@
 	narrowRate = 0.6                    // share given up a second at the threshold
 	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
-	mostShare  = 0.9                   // of a step's parts
+	mostShare  = 0.9                    // of a step's parts
 	nearGain   = 0.5                    // of the way, for each such scan
 	nearBack   = 0.02                   // of the way back to the target, for each other scan
 	thrLeast   = 0.1                    // of the target; the threshold goes no lower
@@ -58,7 +58,8 @@
 	out     int           // calls out
 	parts   int           // parts out
 	fails   int
-	box     time.Duration // not used before this
+	box     time.Duration // not used before this if another will do
+	full    time.Duration // not used before this at all
 	cold    bucket
 	call    int32 // call that is still open in this round
 	callAt  time.Duration
@@ -223,7 +224,7 @@
 	s := &m.srvs[i]
 	if !s.known || s.started != started || (s.state == Gone && st == Ready) {
 		// What an earlier process showed says nothing of the one that took its place.
-		s.lat, s.fails, s.box = smooth{}, 0, 0
+		s.lat, s.fails, s.box, s.full = smooth{}, 0, 0, 0
 		s.cold = bucket{at: m.now, level: 1}
 	}
 	s.known, s.listed, s.state, s.weight, s.started, s.cell = true, true, st, weight, started, cell
@@ -459,7 +460,7 @@
 	for j := range min(m.reach, n) {
 		for _, i := range m.cells[(p.shard+j)%n] {
 			s := &m.srvs[i]
-			if !m.coldRoom(s) {
+			if m.now < s.full || !m.coldRoom(s) {
 				continue
 			}
 			rank := 0
@@ -836,7 +837,9 @@
 		}
 	case NoRoom:
 		s.since = m.now
-		s.box = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
+		// Parts wait a little for room, here or elsewhere. Asking every holder in turn at once would use up a
+		// part's tries in a moment and lose the whole scan with the work done for it.
+		s.full = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
 		// A quick refusal must not read as nothing: a full searcher is one that misses the target. No more than
 		// that, or a run of refusals would make every further dispatch look hopeless.
 		x = max(x, m.cls[p.class].Target.Seconds())
