The narrowest share stays a fifth of the way above the floor

Cause: at the floor exactly any one part lost or late loses the scan. Could harm where capacity is so short that only the floor can be served; seen on kiln overload.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,6 +17,7 @@
 	gainSrv    = 0.2                    // smoothing of one searcher's latency
 	clip       = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate = 0.6                    // share given up a second at the threshold
+	floorSpare = 0.2                    // of the way from floor to need that stays sent: at the floor itself any one part lost is the scan lost
 	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
 	mostShare  = 0.9                    // of a step's parts
@@ -916,7 +917,7 @@
 		} else {
 			c.share += widenRate * dt
 		}
-		c.share = min(1, max(c.share, c.Floor))
+		c.share = min(1, max(c.share, c.Floor+floorSpare*(c.Need-c.Floor)))
 	}
 	for i := range m.scans.at {
 		if m.scans.used[i] {
