--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,7 +16,7 @@
 	gainLat    = 0.08                   // smoothing of this mixer's part latency
 	gainSrv    = 0.2                    // smoothing of one searcher's latency
 	clip       = 3.0                    // one sample counts as this many times the mean at most
-	narrowRate = 1.2                    // share given up a second at the threshold
+	narrowRate = 0.6                    // share given up a second at the threshold
 	floorSpare = 0.2                    // of the way from floor to need that stays sent: at the floor itself any one part lost is the scan lost
 	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
