Scans of little benefit a part are throttled sooner under pressure

Could harm a table type of many parts under a long overload; at most by a factor of two in expected time.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,6 +18,7 @@
 	clip       = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate = 0.6                    // share given up a second at the threshold
 	floorSpare = 0.2                    // of the way from floor to need that stays sent: at the floor itself any one part lost is the scan lost
+	poorMost   = 2.0                    // how much sooner a scan is throttled for its benefit a part
 	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
 	mostShare  = 0.9                    // of a step's parts
@@ -43,6 +44,7 @@
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
 	lat    smooth
+	size   smooth  // parts of a scan
 	tryMax float64 // longest try seen, as a share of the time-out
 	short  smooth  // share of first tries that were shorter
 }
@@ -145,6 +147,8 @@
 	ready   int     // searchers that may be sent to
 	rate    smooth  // passes a second
 	quick   smooth  // the same, over a fraction of a second
+	benefit smooth  // of a scan
+	size    smooth  // parts of a scan
 	peak    float64 // the most of that, forgotten slowly
 	known   int     // passes since start
 	served  smooth  // the same for each ready searcher, slower
@@ -316,6 +320,11 @@
 	if len(sc.parts)-sc.first < sc.expect {
 		return
 	}
+	if sc.step == 0 {
+		m.benefit.add(m.cls[sc.class].Benefit, gainLat)
+		m.size.add(float64(sc.expect), gainLat)
+		m.cls[sc.class].size.add(float64(sc.expect), gainLat)
+	}
 	if sc.step == 0 && !m.admit(sc) {
 		m.giveUp(si)
 		return
@@ -330,7 +339,12 @@
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
-	return m.wait()*nearShare*c.Target.Seconds()/c.thr < left
+	// What brings little benefit for its parts is turned away first: by size, not by name.
+	poor := 1.0
+	if c.size.v > 0 && m.benefit.v > 0 {
+		poor = min(poorMost, max(1, m.benefit.v/m.size.v/(c.Benefit/c.size.v)))
+	}
+	return m.wait()*poor*nearShare*c.Target.Seconds()/c.thr < left
 }
 
 // press is the smoothed part latency, or, where that is more, what the parts out would take at the best pace
