--- a/brain/brain.go
+++ b/brain/brain.go
@@ -57,7 +57,6 @@
 	started time.Duration
 	lat     smooth
 	heard   time.Duration // last answer
-	latest  time.Duration // when the latest of the parts that passed was sent
 	since   time.Duration // last sign of life, or when the first of the present parts went out
 	out     int           // calls out
 	parts   int           // parts out
@@ -78,9 +77,8 @@
 type try struct {
 	srv, call int32
 	at        time.Duration
-	until     time.Duration
 	out       bool
-	lost      bool // counted as lost while still out
+	mayRun    bool
 }
 
 type part struct {
@@ -544,7 +542,7 @@
 	if m.cls[sc.class].LateShare == 0 {
 		until = min(until, sc.target)
 	}
-	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, until: until, out: true})
+	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, out: true})
 	p.live++
 	m.act.Dispatch(p.id, int(i), max(until, m.now+m.round))
 	return true
@@ -601,6 +599,7 @@
 	p.live--
 	m.learn(p, t, out, took)
 	if out != NoRoom && out != NoRoute && out != Stale {
+		t.mayRun = true
 		if !p.may || t.at < p.mayAt {
 			p.mayAt = t.at
 		}
@@ -820,9 +819,7 @@
 func (m *Mixer) learn(p *part, t *try, out Outcome, took time.Duration) {
 	s := &m.srvs[t.srv]
 	s.parts--
-	if !t.lost {
-		m.out--
-	}
+	m.out--
 	k := &m.calls.at[t.call]
 	if k.left--; k.left == 0 {
 		s.out--
@@ -835,7 +832,6 @@
 	switch out {
 	case Pass:
 		m.passed++
-		s.latest = max(s.latest, t.at)
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
 		m.cls[p.class].lat.add(x, gainLat)
 	case Fault:
@@ -870,12 +866,6 @@
 		return
 	}
 	s.lat.add(x, gainSrv)
-	if out == TooSlow && s.latest > t.at {
-		// Later parts came back from there: this one was lost, which tells of its searcher, not of a jam.
-		// Against losses at some searchers narrowing and throttling everything.
-		m.average()
-		return
-	}
 	if m.lat.heard {
 		m.dev.add(min(clip*m.lat.v, max(x-m.lat.v, m.lat.v-x)), gainLat)
 		x = min(x, clip*m.lat.v)
@@ -969,14 +959,7 @@
 		}
 		t := &p.tries[len(p.tries)-1]
 		age := (m.now - t.at).Seconds()
-		s := &m.srvs[t.srv]
-		if !t.lost && m.lat.heard && age > late && (s.latest-t.at).Seconds() > m.lat.v {
-			t.lost = true
-			m.out--
-			s.lat.add((t.until - t.at).Seconds(), gainSrv)
-			m.average()
-		}
-		stuck := m.stuck(s)
+		stuck := m.stuck(&m.srvs[t.srv])
 		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
 			continue
 		}
