--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,17 +12,18 @@
 
 // Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
 const (
-	beat       = 50 * time.Millisecond  // how often waiting things are looked at again
-	gainLat    = 0.08                   // smoothing of this mixer's part latency
-	gainSrv    = 0.2                    // smoothing of one searcher's latency
-	clip       = 3.0                    // one sample counts as this many times the mean at most
-	narrowRate = 0.6                    // share given up a second at the threshold
-	floorSpare = 0.2                    // of the way from floor to need that stays sent: at the floor itself any one part lost is the scan lost
-	poorMost   = 2.0                    // how much sooner a scan is throttled for its benefit a part
-	widenRate  = 0.12                   // share regained a second
-	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
-	mostShare  = 0.9                    // of a step's parts
-	nearGain   = 0.5                    // of the way, for each such scan
+	beat       = 50 * time.Millisecond // how often waiting things are looked at again
+	gainLat    = 0.08                  // smoothing of this mixer's part latency
+	gainSrv    = 0.2                   // smoothing of one searcher's latency
+	clip       = 3.0                   // one sample counts as this many times the mean at most
+	narrowRate = 0.6                   // share given up a second at the threshold
+	floorSpare = 0.2                   // of the way from floor to need that stays sent: at the floor itself any one part lost is the scan lost
+	poorMost   = 2.0                   // how much sooner a scan is throttled for its benefit a part
+	widenRate  = 0.12                  // share regained a second
+	nearShare  = 0.6                   // of its target: a scan that took longer moves the threshold
+	mostShare  = 0.9                   // of a step's parts
+	nearGain   = 0.5                   // of the way, for each such scan
+	ratioMost  = 4.0
 	nearBack   = 0.02                   // of the way back to the target, for each other scan
 	thrLeast   = 0.1                    // of the target; the threshold goes no lower
 	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
@@ -44,6 +45,7 @@
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
 	lat    smooth
+	ratio  smooth  // a scan's time in part latencies
 	size   smooth  // parts of a scan
 	tryMax float64 // longest try seen, as a share of the time-out
 	short  smooth  // share of first tries that were shorter
@@ -344,7 +346,7 @@
 	if c.size.v > 0 && m.benefit.v > 0 {
 		poor = min(poorMost, max(1, m.benefit.v/m.size.v/(c.Benefit/c.size.v)))
 	}
-	return m.wait()*poor*nearShare*c.Target.Seconds()/c.thr < left
+	return m.wait()*poor*max(1, c.ratio.v) < left
 }
 
 // press is the smoothed part latency, or, where that is more, what the parts out would take at the best pace
@@ -729,6 +731,9 @@
 func (m *Mixer) stretch(sc *scan) {
 	c := &m.cls[sc.class]
 	target := c.Target.Seconds()
+	if m.lat.v > 0 {
+		c.ratio.add(min(ratioMost, (m.now-sc.at).Seconds()/m.lat.v), gainLat)
+	}
 	if d := (m.most(sc) - sc.at).Seconds() / target; d > nearShare {
 		c.thr -= nearGain * max(0, c.thr-max(thrLeast*target, m.lat.v*nearShare/d))
 	} else {
