--- a/brain/brain.go
+++ b/brain/brain.go
@@ -731,9 +731,6 @@
 func (m *Mixer) stretch(sc *scan) {
 	c := &m.cls[sc.class]
 	target := c.Target.Seconds()
-	if m.lat.v > 0 {
-		c.ratio.add(min(ratioMost, (m.now-sc.at).Seconds()/m.lat.v), gainLat)
-	}
 	if d := (m.most(sc) - sc.at).Seconds() / target; d > nearShare {
 		c.thr -= nearGain * max(0, c.thr-max(thrLeast*target, m.lat.v*nearShare/d))
 	} else {
@@ -786,7 +783,8 @@
 
 func (m *Mixer) finish(si int32) {
 	sc := &m.scans.at[si]
-	if m.now > sc.at {
+	if m.now > sc.at && m.lat.v > 0 {
+		m.cls[sc.class].ratio.add(min(ratioMost, (m.now-sc.at).Seconds()/m.lat.v), gainLat)
 		m.stretch(sc)
 	}
 	delete(m.byID, sc.id)
