--- a/brain/brain.go
+++ b/brain/brain.go
@@ -427,7 +427,7 @@
 			n += len(m.cells[c])
 		}
 	}
-	return min(m.bundle, 1+(len(sc.parts)-sc.first+max(n, 1)-1)/max(n, 1))
+	return min(m.bundle, (len(sc.parts)-sc.first+max(n, 1)-1)/max(n, 1))
 }
 
 // warmth is the share of its work that a searcher can be counted on to do by now.
