Second copies only from a searcher slower than another holder, and fewer of them

Cause: in a jam late parts were copied to holders just as late. Could harm where two holders fail alike and a third is unheard.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,11 +28,12 @@
 	thrLeast   = 0.1                    // of the target; the threshold goes no lower
 	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
 	peakFade   = 20 * time.Second
-	knownLeast = 100  // passes before that pace is trusted
-	hedgeDevs  = 3.0  // mean deviations past the mean at which a part counts as late
-	silentLats = 2.5  // a searcher silent for so many part latencies counts as stuck
-	extraShare = 0.15 // further dispatches allowed for each first one
-	extraBrim  = 30.0
+	knownLeast = 100 // passes before that pace is trusted
+	hedgeDevs  = 3.0 // mean deviations past the mean at which a part counts as late
+	hedgeWorse = 1.2 // times as slow as another holder: from there a late part is sent again
+	silentLats = 2.5 // a searcher silent for so many part latencies counts as stuck
+	extraShare = 0.1 // further dispatches allowed for each first one
+	extraBrim  = 15.0
 	boxFirst   = 250 * time.Millisecond
 	boxMost    = 4 * time.Second
 	coldMargin = 0.7 // share of the cold budget that is used
@@ -962,10 +963,15 @@
 		}
 		t := &p.tries[len(p.tries)-1]
 		age := (m.now - t.at).Seconds()
-		stuck := m.stuck(&m.srvs[t.srv])
+		s := &m.srvs[t.srv]
+		stuck := m.stuck(s)
 		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
 			continue
 		}
+		// When all holders are slow alike a second copy only adds to the jam.
+		if i := m.pick(p, 1); i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
+			continue
+		}
 		if m.copies {
 			if m.dispatch(pi, 1) {
 				m.extra.level--
