--- a/brain/brain.go
+++ b/brain/brain.go
@@ -401,7 +401,6 @@
 	}
 	for _, pi := range ps[cut:] {
 		sc.gone += m.parts.at[pi].weight
-		m.act.Throttle(m.parts.at[pi].id, 0)
 		m.release(pi)
 	}
 	sc.parts = sc.parts[:sc.first+cut]
