--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,12 +24,15 @@
 	mostShare  = 0.9                   // of a step's parts
 	nearGain   = 0.5                   // of the way, for each such scan
 	ratioMost  = 4.0
-	nearBack   = 0.02 // of the way back to the target, for each other scan
-	thrLeast   = 0.1  // of the target; the threshold goes no lower
-	hedgeDevs  = 3.0  // mean deviations past the mean at which a part counts as late
-	hedgeWorse = 1.2  // times as slow as another holder: from there a late part is sent again
-	silentLats = 2.5  // a searcher silent for so many part latencies counts as stuck
-	extraShare = 0.1  // further dispatches allowed for each first one
+	nearBack   = 0.02                   // of the way back to the target, for each other scan
+	thrLeast   = 0.1                    // of the target; the threshold goes no lower
+	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
+	peakFade   = 20 * time.Second
+	knownLeast = 100 // passes before that pace is trusted
+	hedgeDevs  = 3.0 // mean deviations past the mean at which a part counts as late
+	hedgeWorse = 1.2 // times as slow as another holder: from there a late part is sent again
+	silentLats = 2.5 // a searcher silent for so many part latencies counts as stuck
+	extraShare = 0.1 // further dispatches allowed for each first one
 	extraBrim  = 15.0
 	boxFirst   = 250 * time.Millisecond
 	boxMost    = 4 * time.Second
@@ -51,6 +54,7 @@
 
 type srv struct {
 	state   Standing
+	known   bool
 	cell    int
 	weight  float64
 	started time.Duration
@@ -142,13 +146,15 @@
 	lat     smooth // seconds
 	dev     smooth
 	avg     float64
-	out     int    // parts out
-	ready   int    // searchers that may be sent to
-	rate    smooth // passes a second
-	benefit smooth // of a scan
-	size    smooth // parts of a scan
-	known   int    // passes since start
-	served  smooth // the same for each ready searcher, slower
+	out     int     // parts out
+	ready   int     // searchers that may be sent to
+	rate    smooth  // passes a second
+	quick   smooth  // the same, over a fraction of a second
+	benefit smooth  // of a scan
+	size    smooth  // parts of a scan
+	peak    float64 // the most of that, forgotten slowly
+	known   int     // passes since start
+	served  smooth  // the same for each ready searcher, slower
 	passed  int
 	carried float64
 	beatAt  time.Duration
@@ -224,12 +230,12 @@
 		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo})
 	}
 	s := &m.srvs[i]
-	if s.started != started || (s.state == Gone && st == Ready) {
+	if !s.known || s.started != started || (s.state == Gone && st == Ready) {
 		// What an earlier process showed says nothing of the one that took its place.
 		s.lat, s.fails, s.box, s.full = smooth{}, 0, 0, 0
 		s.cold = bucket{at: m.now, level: 1}
 	}
-	s.listed, s.state, s.weight, s.started, s.cell = true, st, weight, started, cell
+	s.known, s.listed, s.state, s.weight, s.started, s.cell = true, true, st, weight, started, cell
 }
 
 // ListEnd closes a list event.
@@ -243,7 +249,7 @@
 		if (mode == Whole || mode == Remembered) && !s.listed {
 			s.state = Gone
 		}
-		if s.state == Ready && s.cell >= 0 && s.cell < len(m.cells) {
+		if s.known && s.state == Ready && s.cell >= 0 && s.cell < len(m.cells) {
 			m.cells[s.cell] = append(m.cells[s.cell], int32(i))
 			m.ready++
 		}
@@ -344,6 +350,16 @@
 	return m.wait()*poor*max(1, c.ratio.v) < left
 }
 
+// press is the smoothed part latency, or, where that is more, what the parts out would take at the best pace
+// seen lately. Returns tell of a jam a whole latency late; this guards the first seconds of a jump in traffic or
+// in the work a scan brings. It could narrow without need after a time in which little was asked.
+func (m *Mixer) press() float64 {
+	if m.known < knownLeast {
+		return m.lat.v
+	}
+	return max(m.lat.v, float64(m.out)/m.peak)
+}
+
 // wait is the part latency to come: the smoothed one, or less where Little's law (parts out over parts passed
 // a second) says less. It guards against a slow spell remembered for ever once nothing is sent: with nothing
 // out it is nothing. Neither alone serves: in quiet hours the pass rate is what is offered, not what could be
@@ -352,7 +368,7 @@
 	if m.carried == 0 {
 		return 0
 	}
-	return min(m.lat.v, float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
+	return min(m.press(), float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
@@ -897,6 +913,9 @@
 	if dt > 0 {
 		// The most that a searcher was lately seen to carry for this mixer, forgotten slowly.
 		pace := float64(m.passed) / dt
+		m.known += m.passed
+		m.quick.add(pace, min(1, dt/quickSpan.Seconds()))
+		m.peak = max(m.peak*(1-dt/peakFade.Seconds()), m.quick.v)
 		m.rate.add(pace, min(1, dt))
 		m.served.add(pace/float64(max(m.ready, 1)), min(1, dt/4))
 		m.carried = max(m.carried*(1-dt/20), m.served.v)
@@ -911,8 +930,8 @@
 	}
 	for i := range m.cls {
 		c := &m.cls[i]
-		if m.lat.v > c.thr {
-			c.share -= narrowRate * dt * min(2, m.lat.v/c.thr)
+		if press := m.press(); press > c.thr {
+			c.share -= narrowRate * dt * min(2, press/c.thr)
 		} else {
 			c.share += widenRate * dt
 		}
