--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,38 +6,40 @@
 // mechanical helpers in slab.go. Everything that is decided is decided here.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
 const (
-	beat       = 50 * time.Millisecond // how often waiting things are looked at again
-	gainLat    = 0.08                  // smoothing of this mixer's part latency
-	gainSrv    = 0.2                   // smoothing of one searcher's latency
-	clip       = 3.0                   // one sample counts as this many times the mean at most
-	narrowRate = 0.6                   // share given up a second at the threshold
-	floorSpare = 0.2                   // of the way from floor to need that stays sent: at the floor itself any one part lost is the scan lost
-	poorMost   = 2.0                   // how much sooner a scan is throttled for its benefit a part
-	widenRate  = 0.12                  // share regained a second
-	nearShare  = 0.6                   // of its target: a scan that took longer moves the threshold
-	mostShare  = 0.9                   // of a step's parts
-	nearGain   = 0.5                   // of the way, for each such scan
-	ratioMost  = 4.0
+	beat       = 50 * time.Millisecond  // how often waiting things are looked at again
+	gainLat    = 0.08                   // smoothing of this mixer's part latency
+	gainSrv    = 0.2                    // smoothing of one searcher's latency
+	clip       = 3.0                    // one sample counts as this many times the mean at most
+	narrowRate = 0.6                    // share given up a second at the threshold
+	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses the scan
+	poorMost   = 2.0                    // how much sooner a scan is throttled for its benefit a part
+	widenRate  = 0.12                   // share regained a second
+	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
+	mostShare  = 0.9                    // of a step's parts
+	nearGain   = 0.5                    // of the way, for each such scan
+	ratioMost  = 4.0                    // part latencies; a scan counts as no longer
 	nearBack   = 0.02                   // of the way back to the target, for each other scan
 	thrLeast   = 0.1                    // of the target; the threshold goes no lower
 	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
-	peakFade   = 20 * time.Second
-	knownLeast = 100 // passes before that pace is trusted
-	hedgeDevs  = 3.0 // mean deviations past the mean at which a part counts as late
-	hedgeWorse = 1.2 // times as slow as another holder: from there a late part is sent again
-	silentLats = 2.5 // a searcher silent for so many part latencies counts as stuck
-	extraShare = 0.1 // further dispatches allowed for each first one
+	peakFade   = 20 * time.Second       // over which the most seen is forgotten
+	knownLeast = 100                    // passes before that pace is trusted
+	hedgeDevs  = 3.0                    // mean deviations past the mean at which a part counts as late
+	hedgeWorse = 1.2                    // times as slow as another holder: from there a late part is sent again
+	silentLats = 2.5                    // a searcher silent for so many part latencies counts as stuck
+	extraShare = 0.1                    // further dispatches allowed for each first one
 	extraBrim  = 15.0
-	boxFirst   = 250 * time.Millisecond
-	boxMost    = 4 * time.Second
-	coldMargin = 0.7 // share of the cold budget that is used
-	coldLeast  = 2.0 // parts a span that go to a cold searcher even when nothing is known yet
+	boxFirst   = 250 * time.Millisecond // how long a failing searcher is kept off, at first
+	boxMost    = 4 * time.Second        // and at most
+	fadeBack   = 5 * time.Second        // after so long without news a latency is half way to the average
+	coldMargin = 0.7                    // share of the cold budget that is used
+	coldLeast  = 2.0                    // parts a span that go to a cold searcher even when nothing is known yet
 	eps        = 5e-5
 )
 
@@ -45,7 +47,6 @@
 	TableType
 	thr    float64 // seconds; part latency above it narrows the share
 	share  float64
-	lat    smooth
 	ratio  smooth  // a scan's time in part latencies
 	size   smooth  // parts of a scan
 	tryMax float64 // longest try seen, as a share of the time-out
@@ -54,7 +55,6 @@
 
 type srv struct {
 	state   Standing
-	known   bool
 	cell    int
 	weight  float64
 	started time.Duration
@@ -73,7 +73,6 @@
 }
 
 type call struct {
-	srv         int32
 	total, left int
 }
 
@@ -81,24 +80,22 @@
 	srv, call int32
 	at        time.Duration
 	out       bool
-	mayRun    bool
 }
 
 type part struct {
-	id      uint64
-	scan    int32
-	scanGen uint32
-	class   int32
-	shard   int
-	weight  float64
-	tie     float64
-	tries   []try
-	live    int  // tries out
-	in      bool // its answer counts
-	lost    bool // nothing more will come of it
-	over    bool // its scan has ended
-	mayAt   time.Duration
-	may     bool
+	id     uint64
+	scan   int32
+	class  int32
+	shard  int
+	weight float64
+	tie    float64
+	tries  []try
+	live   int  // tries out
+	in     bool // its answer counts
+	lost   bool // nothing more will come of it
+	over   bool // its scan has ended
+	mayAt  time.Duration
+	may    bool
 }
 
 type scan struct {
@@ -130,56 +127,56 @@
 type step func(m *Mixer, si int32, r result)
 
 type Mixer struct {
-	act     Actions
-	now     time.Duration
-	dice    dice
-	cls     []class
-	srvs    []srv
-	cells   [][]int32
-	scans   slab[scan]
-	parts   slab[part]
-	calls   slab[call]
-	byID    map[uint64]int32 // parts and scans; scans as ^place
-	byNo    map[uint64]int32
-	held    int
-	marked  bool   // clients mark their repeats here
-	lat     smooth // seconds
-	dev     smooth
-	avg     float64
-	out     int     // parts out
-	ready   int     // searchers that may be sent to
-	rate    smooth  // passes a second
-	quick   smooth  // the same, over a fraction of a second
-	benefit smooth  // of a scan
-	size    smooth  // parts of a scan
-	peak    float64 // the most of that, forgotten slowly
-	known   int     // passes since start
-	served  smooth  // the same for each ready searcher, slower
-	passed  int
-	carried float64
-	beatAt  time.Duration
-	extra   bucket
-	taken   window
-	agains  window
-
-	reach, shards, bundle, tries, holdMost int
-	copies, advice, ask                    bool
-	round, retryMost, askEvery, askAt      time.Duration
-	askBack                                time.Duration
-	coldFor, fallSpan                      time.Duration
-	coldShare, fallMult                    float64
-	budgeted                               bool
-	budFree, budShare                      float64
-	budSpan                                time.Duration
-	quota                                  []float64
-	tenants                                []bucket
+	act        Actions
+	now        time.Duration
+	dice       dice
+	cls        []class
+	srvs       []srv
+	cells      [][]int32
+	scans      slab[scan]
+	parts      slab[part]
+	calls      slab[call]
+	byID       map[uint64]int32 // parts and scans; scans as ^place
+	byNo       map[uint64]int32
+	held       int
+	lat        smooth // seconds
+	dev        smooth
+	avg        float64
+	meanWeight float64
+	out        int     // parts out
+	ready      int     // searchers that may be sent to
+	rate       smooth  // passes a second
+	quick      smooth  // the same, over a fraction of a second
+	benefit    smooth  // of a scan
+	size       smooth  // parts of a scan
+	peak       float64 // the most of that, forgotten slowly
+	known      int     // passes since start
+	served     smooth  // the same for each ready searcher, slower
+	passed     int
+	carried    float64
+	beatAt     time.Duration
+	extra      bucket
+	taken      window
+	agains     window
+
+	reach, bundle, tries              int
+	copies, advice, ask               bool
+	round, retryMost, askEvery, askAt time.Duration
+	askBack                           time.Duration
+	coldFor, fallSpan                 time.Duration
+	coldShare, fallMult               float64
+	budgeted                          bool
+	budFree, budShare                 float64
+	budSpan                           time.Duration
+	quota                             []float64
+	tenants                           []bucket
 }
 
 // New starts a mixer that knows nothing but its settings.
 func New(s Settings, act Actions, now time.Duration) *Mixer {
-	m := &Mixer{act: act, now: now, dice: newDice(s.Seed, s.Me), byID: map[uint64]int32{}, byNo: map[uint64]int32{},
-		reach: s.Reach, shards: s.Shards, bundle: max(1, s.PartsPerCall), tries: max(1, s.MaxTries),
-		holdMost: s.MaxHeld, copies: s.SecondCopies, advice: s.RetryAdvice, ask: s.AskFor, round: s.Round,
+	m := &Mixer{act: act, now: now, dice: newDice(s.Seed, s.Me), byID: map[uint64]int32{},
+		byNo: map[uint64]int32{}, reach: s.Reach, bundle: max(1, s.PartsPerCall), tries: max(1, s.MaxTries),
+		copies: s.SecondCopies, advice: s.RetryAdvice, ask: s.AskFor, round: s.Round,
 		retryMost: s.MaxRetryIn, askEvery: s.AskEvery, coldFor: s.ColdFor, fallSpan: s.FallSpan,
 		coldShare: s.ColdShare, fallMult: s.FallMultiple, budgeted: s.Budgeted, budFree: s.BudgetFree,
 		budShare: s.BudgetShare, budSpan: s.BudgetSpan}
@@ -227,15 +224,15 @@
 // ListEntry tells of one searcher.
 func (m *Mixer) ListEntry(i int, st Standing, weight float64, started time.Duration, cell int) {
 	for len(m.srvs) <= i {
-		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo})
+		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo, cold: bucket{at: m.now, level: 1}})
 	}
 	s := &m.srvs[i]
-	if !s.known || s.started != started || (s.state == Gone && st == Ready) {
+	if s.started != started || (s.state == Gone && st == Ready) {
 		// What an earlier process showed says nothing of the one that took its place.
 		s.lat, s.fails, s.box, s.full = smooth{}, 0, 0, 0
 		s.cold = bucket{at: m.now, level: 1}
 	}
-	s.known, s.listed, s.state, s.weight, s.started, s.cell = true, true, st, weight, started, cell
+	s.listed, s.state, s.weight, s.started, s.cell = true, st, weight, started, cell
 }
 
 // ListEnd closes a list event.
@@ -243,15 +240,16 @@
 	for c := range m.cells {
 		m.cells[c] = m.cells[c][:0]
 	}
-	m.ready = 0
+	m.ready, m.meanWeight = 0, 0
 	for i := range m.srvs {
 		s := &m.srvs[i]
 		if (mode == Whole || mode == Remembered) && !s.listed {
 			s.state = Gone
 		}
-		if s.known && s.state == Ready && s.cell >= 0 && s.cell < len(m.cells) {
+		if s.state == Ready && s.cell >= 0 && s.cell < len(m.cells) {
 			m.cells[s.cell] = append(m.cells[s.cell], int32(i))
 			m.ready++
+			m.meanWeight += (s.weight - m.meanWeight) / float64(m.ready)
 		}
 	}
 	m.average()
@@ -263,7 +261,8 @@
 	sc := &m.scans.at[i]
 	c := &m.cls[cl]
 	keep := sc.parts[:0]
-	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), at: m.now, expect: parts, parts: keep, next: gather}
+	*sc = scan{id: id, no: no, class: int32(cl), tenant: int32(tenant), at: m.now, expect: parts, parts: keep,
+		next: gather}
 	// A repeat has used up part of its target time: what is missing from a first try's length tells how much.
 	// Only a marked one is held to that, and only while first tries are of one length: against clients that
 	// all at once wait less, whose tries are short but still worth their full benefit.
@@ -303,7 +302,7 @@
 	p := &m.parts.at[pi]
 	keep := p.tries[:0]
 	sc := &m.scans.at[si]
-	*p = part{id: id, scan: si, scanGen: m.scans.gen[si], class: sc.class, shard: shard, weight: weight, tries: keep}
+	*p = part{id: id, scan: si, class: sc.class, shard: shard, weight: weight, tries: keep}
 	p.tie = m.dice.roll(id)
 	m.byID[id] = pi
 	m.held++
@@ -351,8 +350,8 @@
 }
 
 // press is the smoothed part latency, or, where that is more, what the parts out would take at the best pace
-// seen lately. Returns tell of a jam a whole latency late; this guards the first seconds of a jump in traffic or
-// in the work a scan brings. It could narrow without need after a time in which little was asked.
+// seen lately. Returns tell of a jam a whole latency late; this guards the first seconds of a jump in traffic
+// or in the work a scan brings. It could narrow without need after a time in which little was asked.
 func (m *Mixer) press() float64 {
 	if m.known < knownLeast {
 		return m.lat.v
@@ -379,25 +378,15 @@
 	ps := sc.parts[sc.first:]
 	slices.SortFunc(ps, func(a, b int32) int {
 		x, y := &m.parts.at[a], &m.parts.at[b]
-		switch {
-		case x.weight > y.weight, x.weight == y.weight && x.tie < y.tie:
-			return -1
-		case x.weight == y.weight && x.tie == y.tie:
-			return 0
-		}
-		return 1
+		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.tie, y.tie))
 	})
-	share := 1.0
+	share := 2.0
 	if sc.step == 0 && c.Floor < c.Need {
 		share = c.share
 	}
-	sum, cut := 0.0, len(ps)
-	for i, pi := range ps {
-		if share < 1 && sum >= share-eps {
-			cut = i
-			break
-		}
-		sum += m.parts.at[pi].weight
+	cut, sum := 0, 0.0
+	for ; cut < len(ps) && (share >= 1 || sum < share-eps); cut++ {
+		sum += m.parts.at[ps[cut]].weight
 	}
 	for _, pi := range ps[cut:] {
 		sc.gone += m.parts.at[pi].weight
@@ -419,27 +408,15 @@
 	}
 	n := 0
 	for c := range m.cells {
-		hit := false
-		for _, pi := range sc.parts[sc.first:] {
-			d := (c - m.parts.at[pi].shard%len(m.cells) + len(m.cells)) % len(m.cells)
-			hit = hit || d < m.reach
-		}
-		if hit {
+		if slices.ContainsFunc(sc.parts[sc.first:], func(pi int32) bool {
+			return (c-m.parts.at[pi].shard%len(m.cells)+len(m.cells))%len(m.cells) < m.reach
+		}) {
 			n += len(m.cells[c])
 		}
 	}
 	return min(m.bundle, (len(sc.parts)-sc.first+max(n, 1)-1)/max(n, 1))
 }
 
-// warmth is the share of its work that a searcher can be counted on to do by now.
-func (m *Mixer) warmth(s *srv) float64 {
-	if s.started == LongAgo || m.coldFor <= 0 {
-		return 1
-	}
-	age := max(0, m.now-s.started-m.fallSpan)
-	return min(1, m.coldShare+(1-m.coldShare)*age.Seconds()/m.coldFor.Seconds())
-}
-
 // coldRoom guards against pushing over a searcher that has just started: what this mixer sends it in any
 // span stays under its share of what the searcher can take, judged by what this mixer sends to others.
 func (m *Mixer) coldRoom(s *srv) bool {
@@ -447,7 +424,9 @@
 		return true
 	}
 	span := m.fallSpan.Seconds()
-	budget := max(coldLeast, coldMargin*m.fallMult*m.warmth(s)*m.carried*span)
+	age := max(0, m.now-s.started-m.fallSpan) // the capacity at the start of the span, the least in it
+	warm := m.coldShare + (1-m.coldShare)*min(1, float64(age)/float64(m.coldFor))
+	budget := max(coldLeast, coldMargin*m.fallMult*warm*m.carried*min(1, s.weight/m.meanWeight)*span)
 	brim := max(1, budget/4)
 	return s.cold.fill(m.now, (budget-brim)/span, brim) >= 1
 }
@@ -456,9 +435,9 @@
 func (m *Mixer) weigh(s *srv) float64 {
 	lat := m.avg
 	if s.lat.heard {
-		idle := (m.now - s.heard).Seconds()
-		f := idle / (idle + 5)
-		lat = s.lat.v + (m.avg-s.lat.v)*f
+		// Old news fades, or a searcher that was slow once would never be tried again.
+		idle := float64(m.now - s.heard)
+		lat += (s.lat.v - m.avg) * float64(fadeBack) / (idle + float64(fadeBack))
 	}
 	if s.parts > 0 {
 		lat = max(lat, (m.now - s.since).Seconds())
@@ -525,7 +504,7 @@
 	again := len(p.tries) > 0
 	if !m.joins(s, fair) {
 		s.call = m.calls.take()
-		m.calls.at[s.call] = call{srv: i}
+		m.calls.at[s.call] = call{}
 		s.callAt = m.now
 		s.out++
 	}
@@ -602,7 +581,6 @@
 	p.live--
 	m.learn(p, t, out, took)
 	if out != NoRoom && out != NoRoute && out != Stale {
-		t.mayRun = true
 		if !p.may || t.at < p.mayAt {
 			p.mayAt = t.at
 		}
@@ -681,28 +659,17 @@
 	if sc.step > 0 {
 		need = 1
 	}
-	pending := false
-	for _, pi := range sc.parts[sc.first:] {
-		p := &m.parts.at[pi]
-		pending = pending || (!p.in && !p.lost)
-	}
+	pending := slices.ContainsFunc(sc.parts[sc.first:], func(pi int32) bool {
+		return !m.parts.at[pi].in && !m.parts.at[pi].lost
+	})
+	enough := sc.got >= floor-eps
 	switch {
 	case sc.got >= need-eps && (sc.step == 0 || !pending):
 		m.complete(si, sc.step == 0 || sc.whole && sc.pass == sc.expect)
-	case !pending && sc.got >= floor-eps:
+	case enough && (!pending || m.now >= m.cutAt(sc)):
 		m.complete(si, false)
-	case !pending || 1-sc.gone < floor-eps || m.now >= sc.end:
-		if sc.got >= floor-eps {
-			m.complete(si, false)
-			return
-		}
+	case !pending, 1-sc.gone < floor-eps, m.now >= sc.end, !enough && c.LateShare == 0 && m.now >= sc.target:
 		m.giveUp(si)
-	case m.now >= m.cutAt(sc):
-		if sc.got >= floor-eps {
-			m.complete(si, false)
-		} else if c.LateShare == 0 && m.now >= sc.target {
-			m.giveUp(si)
-		}
 	}
 }
 
@@ -715,16 +682,11 @@
 	return at
 }
 
-// most is when most parts of the step were in, or now.
-func (m *Mixer) most(sc *scan) time.Duration {
-	if sc.most > 0 {
-		return sc.most
-	}
-	return m.now
-}
+// most is how long most parts of the step took, till now if they are not in.
+func (m *Mixer) most(sc *scan) time.Duration { return cmp.Or(sc.most, m.now) - sc.at }
 
-// stretch moves the threshold. A scan that took much of its target shows the part latency at which scans of its
-// class get there; without such scans the threshold drifts back to the target, where it began. Quick scans
+// stretch moves the threshold. A scan that took much of its target shows the part latency at which scans of
+// its class get there; without such scans the threshold drifts back to the target, where it began. Quick ones
 // teach nothing: at low latency a wide scan takes many part latencies by spread alone.
 //
 // The time counts at which most parts were in: a few stuck searchers, a pause or a shard without holders make
@@ -732,7 +694,7 @@
 func (m *Mixer) stretch(sc *scan) {
 	c := &m.cls[sc.class]
 	target := c.Target.Seconds()
-	if d := (m.most(sc) - sc.at).Seconds() / target; d > nearShare {
+	if d := m.most(sc).Seconds() / target; d > nearShare {
 		c.thr -= nearGain * max(0, c.thr-max(thrLeast*target, m.lat.v*nearShare/d))
 	} else {
 		c.thr += nearBack * (target - c.thr)
@@ -774,12 +736,9 @@
 
 // ran tells whether any part sent so far may have run; what is not proved otherwise may.
 func (m *Mixer) ran(sc *scan) bool {
-	ran := sc.ran
-	for _, pi := range sc.parts[sc.first:] {
-		p := &m.parts.at[pi]
-		ran = ran || p.may || p.live > 0
-	}
-	return ran
+	return sc.ran || slices.ContainsFunc(sc.parts[sc.first:], func(pi int32) bool {
+		return m.parts.at[pi].may || m.parts.at[pi].live > 0
+	})
 }
 
 func (m *Mixer) finish(si int32) {
@@ -837,7 +796,6 @@
 	case Pass:
 		m.passed++
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
-		m.cls[p.class].lat.add(x, gainLat)
 	case Fault:
 		// A quick error must not read as a fast searcher.
 		s.since, s.heard = m.now, m.now
@@ -918,7 +876,7 @@
 		m.peak = max(m.peak*(1-dt/peakFade.Seconds()), m.quick.v)
 		m.rate.add(pace, min(1, dt))
 		m.served.add(pace/float64(max(m.ready, 1)), min(1, dt/4))
-		m.carried = max(m.carried*(1-dt/20), m.served.v)
+		m.carried = max(m.carried*(1-dt/peakFade.Seconds()), m.served.v)
 		m.passed = 0
 		if m.out == 0 {
 			// Without news an old slow spell fades, or nothing would ever be asked again.
@@ -947,7 +905,7 @@
 // tend looks after a scan that waits: parts nobody took yet, and parts that are late.
 func (m *Mixer) tend(si int32) {
 	sc := &m.scans.at[si]
-	if !sc.taught && (m.most(sc)-sc.at).Seconds() > nearShare*m.cls[sc.class].Target.Seconds() {
+	if !sc.taught && m.most(sc).Seconds() > nearShare*m.cls[sc.class].Target.Seconds() {
 		sc.taught = true
 		m.stretch(sc)
 	}
