--- a/brain/brain.go
+++ b/brain/brain.go
@@ -559,7 +559,7 @@
 		return true
 	}
 	if last := &p.tries[len(p.tries)-1]; len(p.tries) == m.tries-1 && m.now < m.srvs[last.srv].full {
-		//  is kept till there may be room again
+		return false // the last one is kept till there may be room again
 	}
 	if p.live > 0 && !m.copies {
 		return false
