--- a/brain/brain.go
+++ b/brain/brain.go
@@ -401,19 +401,26 @@
 		x, y := &m.parts.at[a], &m.parts.at[b]
 		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.tie, y.tie))
 	})
-	share := 2.0
+	share, spare := 2.0, 0.0
 	if sc.step == 0 && c.Floor < c.Need {
-		share = c.share
+		share, spare = c.share, 1-c.least()
 	}
-	cut, sum := 0, 0.0
-	for ; cut < len(ps) && (share >= 1 || sum < share-eps); cut++ {
-		sum += m.parts.at[ps[cut]].weight
-	}
-	for _, pi := range ps[cut:] {
-		sc.gone += m.parts.at[pi].weight
-		m.release(pi)
+	sent, sum := 0, 0.0
+	for _, pi := range ps {
+		p := &m.parts.at[pi]
+		if hot := spare >= p.weight && m.hopeless(p, sc); hot || share < 1 && sum >= share-eps {
+			if hot {
+				spare -= p.weight
+			}
+			sc.gone += p.weight
+			m.release(pi)
+			continue
+		}
+		sum += p.weight
+		ps[sent] = pi
+		sent++
 	}
-	sc.parts = sc.parts[:sc.first+cut]
+	sc.parts = sc.parts[:sc.first+sent]
 	fair := m.fair(sc)
 	for _, pi := range sc.parts[sc.first:] {
 		m.extra.level = min(extraBrim, m.extra.level+extraShare)
@@ -422,6 +429,17 @@
 	m.judge(si)
 }
 
+// hopeless is the exception for a hot heavy shard: a part none of whose holders is expected to answer in time
+// is left out though it is heavy, as long as the rest stays above the narrowest share. Against narrowing that
+// idles light shards while the hot one stays overloaded, and against shards without a holder.
+func (m *Mixer) hopeless(p *part, sc *scan) bool {
+	best := m.pick(p, 1)
+	return best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
+}
+
+// least is the narrowest share.
+func (c *class) least() float64 { return c.Floor + floorSpare*(c.Need-c.Floor) }
+
 // fair is how many parts of a scan may ride in one call before the call weighs like another.
 func (m *Mixer) fair(sc *scan) int {
 	if m.bundle == 1 {
@@ -926,7 +944,7 @@
 		} else {
 			c.share += widenRate * dt
 		}
-		c.share = min(1, max(c.share, c.Floor+floorSpare*(c.Need-c.Floor)))
+		c.share = min(1, max(c.share, c.least()))
 	}
 	for i := range m.scans.at {
 		if m.scans.used[i] {
