--- a/brain/brain.go
+++ b/brain/brain.go
@@ -345,16 +345,6 @@
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
-	// A scan that hopeless parts keep from its floor is better asked again later.
-	missing := 0.0
-	for _, pi := range sc.parts {
-		if p := &m.parts.at[pi]; m.hopeless(p, sc) {
-			missing += p.weight
-		}
-	}
-	if missing > 1-c.Floor+eps {
-		return false
-	}
 	// What brings little benefit for its parts is turned away first: by size, not by name.
 	poor := 1.0
 	if c.size.v > 0 && m.benefit.v > 0 {
@@ -443,15 +433,8 @@
 // is left out though it is heavy, as long as the rest stays above the narrowest share. Against narrowing that
 // idles light shards while the hot one stays overloaded, and against shards without a holder.
 func (m *Mixer) hopeless(p *part, sc *scan) bool {
-	if best := m.pick(p, 1); best >= 0 {
-		return m.weigh(&m.srvs[best]) > (m.cutAt(sc) - m.now).Seconds()
-	}
-	for j := range min(m.reach, len(m.cells)) {
-		if len(m.cells[(p.shard+j)%len(m.cells)]) > 0 {
-			return false // one that is full or cold may have room soon
-		}
-	}
-	return true
+	best := m.pick(p, 1)
+	return best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
 }
 
 // least is the narrowest share.
