Shards without a listed holder are not waited for

A scan that an outage of whole shards keeps from its floor is throttled on arrival; one that can reach it answers without waiting for those shards.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -344,6 +344,16 @@
 	if c.LateShare == 0 && m.now >= sc.target {
 		return false
 	}
+	// What an outage of whole shards keeps from its floor is better asked again later than waited for.
+	reach := 1.0
+	for _, pi := range sc.parts {
+		if p := &m.parts.at[pi]; m.orphan(p) {
+			reach -= p.weight
+		}
+	}
+	if reach < c.Floor-eps {
+		return false
+	}
 	left := (sc.target - m.now).Seconds()
 	// What brings little benefit for its parts is turned away first: by size, not by name.
 	poor := 1.0
@@ -434,7 +444,17 @@
 // idles light shards while the hot one stays overloaded, and against shards without a holder.
 func (m *Mixer) hopeless(p *part, sc *scan) bool {
 	best := m.pick(p, 1)
-	return best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
+	return m.orphan(p) || best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
+}
+
+// orphan tells that the list names nobody for a part's shard.
+func (m *Mixer) orphan(p *part) bool {
+	for j := range min(m.reach, len(m.cells)) {
+		if len(m.cells[(p.shard+j)%len(m.cells)]) > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // least is the narrowest share.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -388,3 +388,30 @@
 		t.Error("not answered")
 	}
 }
+
+// A scan that cannot reach its floor was held to its target; one that can was held for shards nobody holds.
+func TestShardWithoutHolderIsNotWaitedFor(t *testing.T) {
+	w := newWorld(settings(table(), partial()), 1, 1)
+	w.tell(0, Gone, LongAgo)
+	w.tell(1, Gone, LongAgo) // shards 0 and 4 have no holder left
+	ss, ws := even(8, 8)
+	whole, part := w.scan(0, 2*time.Second, ss, ws), w.scan(1, 2*time.Second, ss, ws)
+	w.run(200 * tms)
+	if a, b := w.scans[whole], w.scans[part]; !a.ended || a.answered != 0 || b.answered != 1 {
+		t.Error(w.log)
+	}
+}
+
+// A hot heavy shard was asked by every scan while light ones were spared.
+func TestHopelessHeavyPartIsLeftOut(t *testing.T) {
+	w := newWorld(settings(partial()), 1, 1)
+	for i := range w.m.srvs {
+		w.m.srvs[i].lat = smooth{v: []float64{3, 3, 0.1, 0.1}[i], heard: true}
+	}
+	id := w.scan(0, 2*time.Second, []int{0, 1, 2, 3}, []float64{0.4, 0.2, 0.2, 0.2})
+	for i, p := range w.scans[id].parts {
+		if sent := len(w.parts[p].tries) > 0; sent != (i > 0) {
+			t.Errorf("part %d sent: %v", i, sent)
+		}
+	}
+}
