--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,8 +2,8 @@
 
 // A front makes one Mixer per instance with New, sets its clock with At before each batch of events, and
 // hands events over in the order they came: list entries, scans and their parts, returns, wakes. What is to
-// be done comes out of the Actions given to New, within the call. The interface stands in types.go; the
-// mechanical helpers in slab.go. Everything that is decided is decided here.
+// be done comes out of the Actions given to New, within the call. The interface stands in types.go, the
+// records in state.go, mechanical helpers in slab.go. Everything that is decided is decided here.
 
 import (
 	"cmp"
@@ -47,137 +47,6 @@
 	eps        = 5e-5
 )
 
-type class struct {
-	TableType
-	thr    float64 // seconds; part latency above it narrows the share
-	share  float64
-	ratio  smooth  // a scan's time in part latencies
-	size   smooth  // parts of a scan
-	tryMax float64 // longest try seen, as a share of the time-out
-	short  smooth  // share of first tries that were shorter
-}
-
-type srv struct {
-	state   Standing
-	cell    int
-	weight  float64
-	started time.Duration
-	lat     smooth
-	heard   time.Duration // last answer
-	since   time.Duration // last sign of life, or when the first of the present parts went out
-	out     int           // calls out
-	parts   int           // parts out
-	fails   int           // failures since the last answer
-	failAt  time.Duration
-	box     time.Duration // not used before this if another will do
-	full    time.Duration // not used before this at all
-	cold    bucket
-	call    int32 // call that is still open in this round
-	callAt  time.Duration
-	listed  bool
-}
-
-type call struct {
-	total, left int
-}
-
-type try struct {
-	srv, call int32
-	at        time.Duration
-	out       bool
-}
-
-type part struct {
-	id     uint64
-	scan   int32
-	class  int32
-	shard  int
-	weight float64
-	tie    float64
-	tries  []try
-	live   int  // tries out
-	in     bool // its answer counts
-	lost   bool // nothing more will come of it
-	over   bool // its scan has ended
-	mayAt  time.Duration
-	failAt time.Duration // when a dispatch last came back without an answer
-	may    bool
-}
-
-type scan struct {
-	id, no    uint64
-	class     int32
-	tenant    int32
-	at        time.Duration
-	target    time.Duration
-	end       time.Duration
-	expect    int
-	step      int
-	repeat    bool
-	whole     bool          // the first step's answer was
-	most      time.Duration // when most parts of the first step were in
-	taught    bool          // has moved the threshold while in hand
-	ran       bool          // a part of the first step may have run
-	parts     []int32
-	first     int // where the present step's parts begin
-	got, gone float64
-	pass      int
-	next      step
-}
-
-// result is what a step is handed.
-type result struct {
-	part int32 // -1 when only time has passed
-	pass bool
-}
-
-type step func(m *Mixer, si int32, r result)
-
-type Mixer struct {
-	act        Actions
-	now        time.Duration
-	dice       dice
-	cls        []class
-	srvs       []srv
-	cells      [][]int32
-	scans      slab[scan]
-	parts      slab[part]
-	calls      slab[call]
-	byID       map[uint64]int32 // parts and scans; scans as ^place
-	byNo       map[uint64]int32
-	lat        smooth // seconds
-	dev        smooth
-	avg        float64
-	meanWeight float64
-	out        int     // parts out
-	ready      int     // searchers that may be sent to
-	rate       smooth  // passes a second
-	quick      smooth  // the same, over a fraction of a second
-	benefit    smooth  // of a scan
-	size       smooth  // parts of a scan
-	peak       float64 // the most of that, forgotten slowly
-	known      int     // passes since start
-	served     smooth  // the same for each ready searcher, slower
-	passed     int
-	carried    float64
-	beatAt     time.Duration
-	extra      bucket
-	taken      window
-	agains     window
-
-	reach, bundle, tries              int
-	copies, advice, ask               bool
-	round, retryMost, askEvery, askAt time.Duration
-	askBack                           time.Duration
-	coldFor, fallSpan                 time.Duration
-	coldShare, fallMult               float64
-	budgeted                          bool
-	budFree, budShare                 float64
-	budSpan                           time.Duration
-	quota                             []float64
-	tenants                           []bucket
-}
-
 // New starts a mixer that knows nothing but its settings.
 func New(s Settings, act Actions, now time.Duration) *Mixer {
 	m := &Mixer{act: act, now: now, dice: newDice(s.Seed, s.Me), byID: map[uint64]int32{},
@@ -187,7 +56,10 @@
 		coldShare: s.ColdShare, fallMult: s.FallMultiple, budgeted: s.Budgeted, budFree: s.BudgetFree,
 		budShare: s.BudgetShare, budSpan: s.BudgetSpan}
 	for _, t := range s.Types {
-		m.cls = append(m.cls, class{TableType: t, thr: t.Target.Seconds(), share: 1})
+		m.cls = append(m.cls, class{target: t.Target, timeout: t.Timeout, window: t.RepeatWindow,
+			stretch: t.Stretch, benefit: max(t.Benefit, eps), late: t.LateShare > 0, effect: t.Effect, need: t.Need,
+			floor: t.Floor, least: t.Floor + floorSpare*(t.Need-t.Floor), second: t.SecondStep,
+			thr: t.Target.Seconds(), share: 1})
 	}
 	for _, q := range s.Quotas {
 		m.quota = append(m.quota, q/float64(max(1, s.Mixers)))
@@ -267,16 +139,16 @@
 	// A repeat has used up part of its target time: what is missing from a first try's length tells how much.
 	// Only a marked one is held to that, and only while first tries are of one length: against clients that
 	// all at once wait less, whose tries are short but still worth their full benefit.
-	share := left.Seconds() / c.Timeout.Seconds()
+	share := left.Seconds() / c.timeout.Seconds()
 	c.tryMax = max(share, c.tryMax)
 	short := share < 0.98*c.tryMax
 	var used time.Duration
 	if !repeat {
 		c.short.add(float64(b2i(short)), gainLat)
 	} else if short && c.short.v < 0.1 {
-		used = c.Timeout - left
+		used = c.timeout - left
 	}
-	target := min(c.Timeout, c.Target+time.Duration(c.Stretch*float64(work)))
+	target := min(c.timeout, c.target+time.Duration(c.stretch*float64(work)))
 	sc.end = m.now + left - 2*m.round
 	sc.target = min(sc.end, m.now+target-used-3*m.round)
 	m.byID[id] = ^i
@@ -331,10 +203,10 @@
 // admit turns away what could not be done in time.
 func (m *Mixer) admit(sc *scan) bool {
 	c := &m.cls[sc.class]
-	m.benefit.add(c.Benefit, gainLat)
+	m.benefit.add(c.benefit, gainLat)
 	m.size.add(float64(sc.expect), gainLat)
 	c.size.add(float64(sc.expect), gainLat)
-	if c.LateShare == 0 && m.now >= sc.target {
+	if !c.late && m.now >= sc.target {
 		return false
 	}
 	// What an outage of whole shards keeps from its floor is better asked again later than waited for.
@@ -344,12 +216,12 @@
 			reach -= p.weight
 		}
 	}
-	if reach < c.Floor-eps {
+	if reach < c.floor-eps {
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
 	// What brings little benefit for its parts is turned away first: by size, not by name.
-	poor := min(poorMost, max(1, m.benefit.v/m.size.v*c.size.v/max(c.Benefit, eps)))
+	poor := min(poorMost, max(1, m.benefit.v/m.size.v*c.size.v/c.benefit))
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
@@ -402,8 +274,8 @@
 		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.tie, y.tie))
 	})
 	share, spare := 2.0, 0.0
-	if sc.step == 0 && c.Floor < c.Need {
-		share, spare = c.share, 1-c.least()
+	if sc.step == 0 && c.floor < c.need {
+		share, spare = c.share, 1-c.least
 	}
 	sent, sum := 0, 0.0
 	for _, pi := range ps {
@@ -447,9 +319,6 @@
 	return true
 }
 
-// least is the narrowest share.
-func (c *class) least() float64 { return c.Floor + floorSpare*(c.Need-c.Floor) }
-
 // fair is how many parts of a scan may ride in one call before the call weighs like another.
 func (m *Mixer) fair(sc *scan) int {
 	if m.bundle == 1 {
@@ -579,7 +448,7 @@
 		m.agains.add(m.now, m.budSpan)
 	}
 	until := sc.end
-	if m.cls[sc.class].LateShare == 0 {
+	if !m.cls[sc.class].late {
 		until = min(until, sc.target)
 	}
 	p.tries = append(p.tries, try{srv: i, call: s.call, at: m.now, out: true})
@@ -597,10 +466,10 @@
 		return true
 	}
 	c := &m.cls[p.class]
-	if p.live > 0 && !m.copies || (p.may || p.live > 0) && c.Effect == NonReplayable {
+	if p.live > 0 && !m.copies || (p.may || p.live > 0) && c.effect == NonReplayable {
 		return false
 	}
-	if c.Effect == Keyed && (p.may || p.live > 0) {
+	if c.effect == Keyed && (p.may || p.live > 0) {
 		from := m.now
 		if p.may {
 			from = p.mayAt
@@ -610,7 +479,7 @@
 				from = min(from, p.tries[t].at)
 			}
 		}
-		if m.now-from >= c.RepeatWindow-2*m.round {
+		if m.now-from >= c.window-2*m.round {
 			return false
 		}
 	}
@@ -679,7 +548,7 @@
 	if m.worthIt(sc) && m.dispatch(pi, 1) {
 		return
 	}
-	if len(p.tries) >= m.tries || (p.may && m.cls[p.class].Effect == NonReplayable) {
+	if len(p.tries) >= m.tries || (p.may && m.cls[p.class].effect == NonReplayable) {
 		p.lost = true
 		sc.gone += p.weight
 	}
@@ -691,7 +560,7 @@
 // timeLeft is how long an answer of the scan's parts is still of use.
 func (m *Mixer) timeLeft(sc *scan) float64 {
 	until := sc.target
-	if m.now >= until || m.cls[sc.class].LateShare > 0 && sc.got < m.floor(sc)-eps {
+	if m.now >= until || m.cls[sc.class].late && sc.got < m.floor(sc)-eps {
 		until = sc.end
 	}
 	return (until - m.now).Seconds()
@@ -699,17 +568,17 @@
 
 func (m *Mixer) floor(sc *scan) float64 {
 	c := &m.cls[sc.class]
-	if sc.step > 0 && c.Floor >= c.Need {
+	if sc.step > 0 && c.floor >= c.need {
 		return 1
 	}
-	return c.Floor
+	return c.floor
 }
 
 // judge ends a step when it is whole, hopeless, or out of time.
 func (m *Mixer) judge(si int32) {
 	sc := &m.scans.at[si]
 	c := &m.cls[sc.class]
-	need, floor := c.Need, m.floor(sc)
+	need, floor := c.need, m.floor(sc)
 	if sc.step > 0 {
 		need = 1
 	}
@@ -722,7 +591,7 @@
 		m.complete(si, sc.step == 0 || sc.whole && sc.pass == sc.expect)
 	case enough && (!pending || m.now >= m.cutAt(sc)):
 		m.complete(si, false)
-	case !pending, 1-sc.gone < floor-eps, m.now >= sc.end, !enough && c.LateShare == 0 && m.now >= sc.target:
+	case !pending, 1-sc.gone < floor-eps, m.now >= sc.end, !enough && !c.late && m.now >= sc.target:
 		m.giveUp(si)
 	}
 }
@@ -730,7 +599,7 @@
 // cutAt is when a scan stops waiting for more than its floor.
 func (m *Mixer) cutAt(sc *scan) time.Duration {
 	at := sc.target
-	if c := &m.cls[sc.class]; sc.step == 0 && c.SecondStep > 0 {
+	if c := &m.cls[sc.class]; sc.step == 0 && c.second > 0 {
 		at -= time.Duration(2 * m.lat.v * float64(time.Second))
 	}
 	return at
@@ -747,7 +616,7 @@
 // single parts late, and narrowing every scan would not help those.
 func (m *Mixer) stretch(sc *scan) {
 	c := &m.cls[sc.class]
-	target := c.Target.Seconds()
+	target := c.target.Seconds()
 	if d := m.most(sc).Seconds() / target; d > nearShare {
 		c.thr -= nearGain * max(0, c.thr-max(thrLeast*target, m.lat.v*nearShare/d))
 	} else {
@@ -759,8 +628,8 @@
 	sc := &m.scans.at[si]
 	m.act.Complete(sc.id, whole)
 	c := &m.cls[sc.class]
-	if sc.step == 0 && c.SecondStep > 0 {
-		n := min(c.SecondStep, sc.pass)
+	if sc.step == 0 && c.second > 0 {
+		n := min(c.second, sc.pass)
 		sc.ran = m.ran(sc)
 		for _, pi := range sc.parts[sc.first:] {
 			m.close(pi)
@@ -776,7 +645,7 @@
 // giveUp throttles where trying again is provably harmless, and abandons otherwise, at once.
 func (m *Mixer) giveUp(si int32) {
 	sc := &m.scans.at[si]
-	if m.cls[sc.class].Effect != Replayable && m.ran(sc) {
+	if m.cls[sc.class].effect != Replayable && m.ran(sc) {
 		m.act.Abandon(sc.id)
 	} else {
 		var in time.Duration
@@ -863,7 +732,7 @@
 		s.full = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
 		// A quick refusal must not read as nothing: a full searcher is one that misses the target. No more than
 		// that, or a run of refusals would make every further dispatch look hopeless.
-		x = max(x, m.cls[p.class].Target.Seconds())
+		x = max(x, m.cls[p.class].target.Seconds())
 	case Cut:
 		m.failed(s, 1)
 		return
@@ -948,7 +817,7 @@
 		} else {
 			c.share += widenRate * dt
 		}
-		c.share = min(1, max(c.share, c.least()))
+		c.share = min(1, max(c.share, c.least))
 	}
 	for i := range m.scans.at {
 		if m.scans.used[i] {
@@ -960,7 +829,7 @@
 // tend looks after a scan that waits: parts nobody took yet, and parts that are late.
 func (m *Mixer) tend(si int32) {
 	sc := &m.scans.at[si]
-	if !sc.taught && m.most(sc).Seconds() > nearShare*m.cls[sc.class].Target.Seconds() {
+	if !sc.taught && m.most(sc).Seconds() > nearShare*m.cls[sc.class].target.Seconds() {
 		sc.taught = true
 		m.stretch(sc)
 	}
@@ -989,7 +858,7 @@
 			if m.dispatch(pi, 1) {
 				m.extra.level--
 			}
-		} else if stuck && m.cls[p.class].Effect == Replayable && len(p.tries) < m.tries {
+		} else if stuck && m.cls[p.class].effect == Replayable && len(p.tries) < m.tries {
 			m.act.Cancel(p.id, len(p.tries)-1)
 			m.extra.level--
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -23,7 +23,7 @@
 		ts = append(ts, t)
 	}
 	s := settings(ts...)
-	s.Cells, s.Shards = 3+r.Intn(3), 12
+	s.Cells = 3 + r.Intn(3)
 	s.SecondCopies, s.RetryAdvice, s.AskFor = r.Intn(2) > 0, r.Intn(2) > 0, r.Intn(2) > 0
 	s.PartsPerCall = 1 + 3*r.Intn(2)
 	s.MaxTries = 1 + r.Intn(4)
@@ -64,7 +64,7 @@
 		for w.now < 20*time.Second && w.broken == "" {
 			w.run(time.Duration(5+r.Intn(60)) * tms)
 			n := 1 + r.Intn(8)
-			ss, ws := even(n, w.set.Shards)
+			ss, ws := even(n, 2*w.set.Cells)
 			if r.Intn(2) > 0 { // a heavy head
 				for i := range ws {
 					ws[i] = []float64{0.5, 0.5 / float64(max(1, n-1))}[min(i, 1)]
@@ -101,7 +101,7 @@
 		w.moody = true
 		for range 200 {
 			w.run(30 * tms)
-			ss, ws := even(5, w.set.Shards)
+			ss, ws := even(5, 2*w.set.Cells)
 			w.scan(0, time.Second, ss, ws)
 			trouble(w)
 		}
@@ -115,7 +115,7 @@
 // load sends scans of n parts at a steady pace, for a while.
 func load(w *world, cl, n int, every, during time.Duration) {
 	for end := w.now + during; w.now < end; w.run(every) {
-		ss, ws := even(n, w.set.Shards)
+		ss, ws := even(n, 2*w.set.Cells)
 		w.scan(cl, w.set.Types[cl].Timeout, ss, ws)
 	}
 }
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -78,19 +78,20 @@
 func (w *world) after(d time.Duration, do func()) { w.due = append(w.due, due{w.now + d, do}) }
 
 func settings(types ...TableType) Settings {
-	return Settings{Seed: 7, Mixers: 1, Types: types, Shards: 8, Cells: 4, Reach: 2, PartsPerCall: 1, MaxTries: 3,
-		MaxHeld: 500, SecondCopies: true, RetryAdvice: true, MaxRetryIn: time.Second, Round: 5 * tms,
-		AskEvery: 10 * time.Second, AnswerSlack: 20 * tms, ColdFor: 10 * time.Second, FallSpan: 2 * time.Second,
+	return Settings{Seed: 7, Mixers: 1, Types: types, Cells: 4, Reach: 2, PartsPerCall: 1, MaxTries: 3,
+		SecondCopies: true, RetryAdvice: true, MaxRetryIn: time.Second, Round: 5 * tms,
+		AskEvery: 10 * time.Second, ColdFor: 10 * time.Second, FallSpan: 2 * time.Second,
 		ColdShare: 0.2, FallMultiple: 3}
 }
 
 func table() TableType {
 	return TableType{Target: time.Second, Timeout: 2 * time.Second, RepeatWindow: 500 * tms, Benefit: 1, Need: 1,
-		Floor: 1, ShortShare: 0.9}
+		Floor: 1}
 }
 
 func newWorld(set Settings, seed int64, perCell int) *world {
-	w := &world{set: set, r: rand.New(rand.NewSource(seed)), scans: map[uint64]*wscan{}, parts: map[uint64]*wpart{}}
+	w := &world{set: set, r: rand.New(rand.NewSource(seed)), scans: map[uint64]*wscan{},
+		parts: map[uint64]*wpart{}}
 	w.m = New(set, w, 0)
 	for i := range set.Cells * perCell {
 		w.srvs = append(w.srvs, wsrv{cell: i % set.Cells, start: LongAgo, speed: 1, mood: Pass})
@@ -136,7 +137,7 @@
 			}
 		}
 		for id, sc := range w.scans {
-			if !sc.ended && w.now > sc.end+w.set.AnswerSlack {
+			if !sc.ended && w.now > sc.end+20*tms {
 				w.fail("scan %d lost", id)
 			}
 		}
@@ -273,7 +274,7 @@
 	if sc.ended {
 		w.fail("scan %d ended twice", id)
 	}
-	if w.now > sc.end+w.set.AnswerSlack {
+	if w.now > sc.end+20*tms {
 		w.fail("scan %d ended late", id)
 	}
 	return sc
--- /dev/null
+++ b/brain/state.go
@@ -0,0 +1,141 @@
+package brain
+
+import "time"
+
+// The records that brain.go works on; nothing is decided here.
+
+type class struct {
+	target, timeout, window time.Duration
+	stretch, benefit        float64
+	late                    bool // an answer after the target still earns something
+	effect                  Effect
+	need, floor, least      float64 // least: the narrowest share
+	second                  int
+	thr                     float64 // seconds; part latency above it narrows the share
+	share                   float64
+	ratio                   smooth  // a scan's time in part latencies
+	size                    smooth  // parts of a scan
+	tryMax                  float64 // longest try seen, as a share of the time-out
+	short                   smooth  // share of first tries that were shorter
+}
+
+type srv struct {
+	state   Standing
+	cell    int
+	weight  float64
+	started time.Duration
+	lat     smooth
+	heard   time.Duration // last answer
+	since   time.Duration // last sign of life, or when the first of the present parts went out
+	out     int           // calls out
+	parts   int           // parts out
+	fails   int           // failures since the last answer
+	failAt  time.Duration
+	box     time.Duration // not used before this if another will do
+	full    time.Duration // not used before this at all
+	cold    bucket
+	call    int32 // call that is still open in this round
+	callAt  time.Duration
+	listed  bool
+}
+
+type call struct {
+	total, left int
+}
+
+type try struct {
+	srv, call int32
+	at        time.Duration
+	out       bool
+}
+
+type part struct {
+	id     uint64
+	scan   int32
+	class  int32
+	shard  int
+	weight float64
+	tie    float64
+	tries  []try
+	live   int  // tries out
+	in     bool // its answer counts
+	lost   bool // nothing more will come of it
+	over   bool // its scan has ended
+	mayAt  time.Duration
+	failAt time.Duration // when a dispatch last came back without an answer
+	may    bool
+}
+
+type scan struct {
+	id, no    uint64
+	class     int32
+	tenant    int32
+	at        time.Duration
+	target    time.Duration
+	end       time.Duration
+	expect    int
+	step      int
+	repeat    bool
+	whole     bool          // the first step's answer was
+	most      time.Duration // when most parts of the first step were in
+	taught    bool          // has moved the threshold while in hand
+	ran       bool          // a part of the first step may have run
+	parts     []int32
+	first     int // where the present step's parts begin
+	got, gone float64
+	pass      int
+	next      step
+}
+
+// result is what a step is handed.
+type result struct {
+	part int32 // -1 when only time has passed
+	pass bool
+}
+
+type step func(m *Mixer, si int32, r result)
+
+// Mixer is all that one instance knows: what it holds and has seen, and figures derived from its settings.
+type Mixer struct {
+	act        Actions
+	now        time.Duration
+	dice       dice
+	cls        []class
+	srvs       []srv
+	cells      [][]int32
+	scans      slab[scan]
+	parts      slab[part]
+	calls      slab[call]
+	byID       map[uint64]int32 // parts and scans; scans as ^place
+	byNo       map[uint64]int32
+	lat        smooth  // part latency, seconds
+	dev        smooth  // its mean deviation
+	avg        float64 // what a searcher not heard from counts as
+	meanWeight float64 // of the searchers that may be sent to
+	out        int     // parts out
+	ready      int     // searchers that may be sent to
+	rate       smooth  // passes a second
+	quick      smooth  // the same, over a fraction of a second
+	peak       float64 // the most of that, forgotten slowly
+	served     smooth  // passes a second and ready searcher, over seconds
+	carried    float64 // the most of that, forgotten slowly
+	passed     int     // passes since the last beat
+	known      int     // passes since start
+	benefit    smooth  // of a scan
+	size       smooth  // parts of a scan
+	beatAt     time.Duration
+	extra      bucket
+	taken      window
+	agains     window
+
+	reach, bundle, tries              int
+	copies, advice, budgeted          bool
+	round, retryMost, askEvery, askAt time.Duration
+	askBack                           time.Duration
+	coldFor, fallSpan                 time.Duration
+	coldShare, fallMult               float64
+	budFree, budShare                 float64
+	budSpan                           time.Duration
+	quota                             []float64
+	tenants                           []bucket
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -54,7 +54,7 @@
 	LateShare, Benefit            float64
 	Stretch                       float64
 	Effect                        Effect
-	Need, Floor, ShortShare       float64
+	Need, Floor                   float64
 	SecondStep                    int
 }
 
@@ -64,13 +64,11 @@
 	Me, Mixers                        int
 	Types                             []TableType
 	Quotas                            []float64 // scans a second within each tenant's share, all mixers together
-	Shards, Cells, Reach              int
-	PartsPerCall                      int
-	CallCost                          time.Duration
-	MaxTries, MaxHeld                 int
+	Cells, Reach, PartsPerCall        int
+	MaxTries                          int
 	SecondCopies, RetryAdvice, AskFor bool
 	MaxRetryIn, Round, AskEvery       time.Duration
-	AnswerSlack, ColdFor, FallSpan    time.Duration
+	ColdFor, FallSpan                 time.Duration
 	ColdShare, FallMultiple           float64
 	Budgeted                          bool
 	BudgetFree, BudgetShare           float64
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -83,12 +83,11 @@
 		}
 	}
 	s = brain.Settings{Seed: seed, Me: c.int("me"), Mixers: c.int("balancers"),
-		Shards: c.int("domain.ranges"), Cells: c.int("domain.places"), Reach: c.int("domain.width"),
-		PartsPerCall: c.int("domain.bundleMax"), CallCost: c.span("domain.callCost"),
-		MaxTries: c.int("limits.attemptsCap"), MaxHeld: c.int("limits.maxOpen"),
+		Cells: c.int("domain.places"), Reach: c.int("domain.width"), PartsPerCall: c.int("domain.bundleMax"),
+		MaxTries:     c.int("limits.attemptsCap"),
 		SecondCopies: c.bool("limits.secondCopies"), RetryAdvice: c.bool("limits.retryAfter"),
 		AskFor: c.text("discovery") == "ask", MaxRetryIn: c.span("limits.maxRetryAfter"),
-		Round: c.span("granularity"), AskEvery: c.span("rules.askEvery"), AnswerSlack: c.span("rules.answerSlack"),
+		Round: c.span("granularity"), AskEvery: c.span("rules.askEvery"),
 		ColdFor: c.span("rules.cold"), FallSpan: c.span("rules.fall"), ColdShare: c.float("rules.startCapacity"),
 		FallMultiple: c.float("rules.fallMultiple"), BudgetFree: c.maybe("rules.budgetFree"),
 		BudgetShare: c.maybe("rules.resendRatio"), BudgetSpan: span(c.maybe("rules.resendSpan"))}
@@ -104,7 +103,7 @@
 			RepeatWindow: span(c.maybe(at + "keyTtl")), LateShare: c.float(at + "lateWorth"),
 			Benefit: c.float(at + "points"), Stretch: c.maybe(at + "aimStretch"), Effect: kind,
 			Need: c.nth("domain.wholeAt", i), Floor: c.nth("domain.floorByClass", i),
-			ShortShare: c.nth("domain.shortWorth", i), SecondStep: int(c.nth("domain.secondStep", i))}
+			SecondStep: int(c.nth("domain.secondStep", i))}
 		in.types[c.text(at+"name")] = i
 		s.Types = append(s.Types, t)
 	}
