--- a/brain/brain.go
+++ b/brain/brain.go
@@ -530,9 +530,6 @@
 			p.in = true
 			sc.got += p.weight
 			sc.pass++
-			if sc.enough == 0 && sc.got >= m.floor(sc)-eps && m.cls[sc.class].second == 0 {
-				sc.enough = m.now
-			}
 			if sc.most == 0 && float64(sc.pass) >= mostShare*float64(len(sc.parts)-sc.first) {
 				sc.most = m.now
 			}
@@ -670,8 +667,7 @@
 func (m *Mixer) finish(si int32) {
 	sc := &m.scans.at[si]
 	if m.now > sc.at && m.lat.v > 0 {
-		c := &m.cls[sc.class]
-		c.ratio.add(min(ratioMost, (cmp.Or(sc.enough, m.now)-sc.at).Seconds()/m.lat.v), gainLat)
+		m.cls[sc.class].ratio.add(min(ratioMost, (m.now-sc.at).Seconds()/m.lat.v), gainLat)
 		m.stretch(sc)
 	}
 	delete(m.byID, sc.id)
--- a/brain/state.go
+++ b/brain/state.go
@@ -13,7 +13,7 @@
 	second                  int
 	thr                     float64 // seconds; part latency above it narrows the share
 	share                   float64
-	ratio                   smooth  // a scan's time to its floor, in part latencies
+	ratio                   smooth  // a scan's time in part latencies
 	size                    smooth  // parts of a scan
 	tryMax                  float64 // longest try seen, as a share of the time-out
 	short                   smooth  // share of first tries that were shorter
@@ -78,7 +78,6 @@
 	repeat    bool
 	whole     bool          // the first step's answer was
 	most      time.Duration // when most parts of the first step were in
-	enough    time.Duration // when the floor was reached
 	taught    bool          // has moved the threshold while in hand
 	ran       bool          // a part of the first step may have run
 	parts     []int32
