--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,7 +15,7 @@
 const (
 	beat       = 50 * time.Millisecond  // how often waiting things are looked at again
 	gainLat    = 0.08                   // smoothing of this mixer's part latency
-	gainSrv    = 0.3                    // smoothing of one searcher's latency
+	gainSrv    = 0.2                    // smoothing of one searcher's latency
 	clip       = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate = 0.6                    // share given up a second at the threshold
 	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses the scan
