--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,7 +33,7 @@
 	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
 	peakFade   = 20 * time.Second       // over which the most seen is forgotten
 	knownLeast = 100                    // passes before that pace is trusted
-	hedgeDevs  = 4.0                    // mean deviations past the mean at which a part counts as late
+	hedgeDevs  = 3.0                    // mean deviations past the mean at which a part counts as late
 	hedgeWorse = 1.2                    // times as slow as another holder: from there a late part is sent again
 	silentLats = 2.5                    // a searcher silent for so many part latencies counts as stuck
 	lastTry    = 3.0                    // expected times; with more left the last try waits for a sound holder
