--- a/brain/brain.go
+++ b/brain/brain.go
@@ -709,10 +709,6 @@
 		}
 		m.calls.drop(t.call)
 	}
-	if out == TooSlow && s.fails == 0 {
-		// A part lost at a searcher that answers others: copies are what helps, so the allowance grows.
-		m.extra.level = min(extraBrim, m.extra.level+1)
-	}
 	x := took.Seconds()
 	switch out {
 	case Pass:
