--- a/brain/brain.go
+++ b/brain/brain.go
@@ -713,7 +713,6 @@
 	switch out {
 	case Pass:
 		m.passed++
-		s.latest = max(s.latest, t.at)
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
 	case Fault:
 		// A quick error must not read as a fast searcher.
@@ -848,10 +847,7 @@
 		t := &p.tries[len(p.tries)-1]
 		age := (m.now - t.at).Seconds()
 		s := &m.srvs[t.srv]
-		// Much later parts came back from there: this one was lost, and no jam. A copy helps even if the other
-		// holders look no better, as where many searchers lose calls. It could harm where answers overtake.
-		lost := s.latest-t.at > time.Duration(2.5*m.lat.v*float64(time.Second))
-		stuck := m.stuck(s) || lost
+		stuck := m.stuck(s)
 		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
 			continue
 		}
--- a/brain/state.go
+++ b/brain/state.go
@@ -26,7 +26,6 @@
 	started time.Duration
 	lat     smooth
 	heard   time.Duration // last answer
-	latest  time.Duration // when the latest part that passed was sent
 	since   time.Duration // last sign of life, or when the first of the present parts went out
 	out     int           // calls out
 	parts   int           // parts out
