--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,7 +20,6 @@
 	narrowRate = 0.6                    // share given up a second at the threshold
 	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses the scan
 	admitShare = 0.8                    // of the time left that a scan may be expected to take
-	admitSway  = 0.4                    // either side of it by half of this, by the dice
 	poorMost   = 3.0                    // how much sooner a scan is throttled for its benefit a part
 	overPoor   = 2.0                    // the same for a tenant over its share
 	quotaBrim  = 2 * time.Second        // of its share that a tenant may ask at once
@@ -227,8 +226,7 @@
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
-	// With chance, or all mixers open and shut together and the searchers swing between idle and jammed.
-	return m.wait()*poor*max(1, c.ratio.v) < (admitShare+admitSway*(m.dice.roll(sc.id)-0.5))*left
+	return m.wait()*poor*max(1, c.ratio.v) < admitShare*left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
