--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,6 @@
 	poorMost   = 3.0                    // how much sooner a scan is throttled for its benefit a part
 	overPoor   = 2.0                    // the same for a tenant over its share
 	quotaBrim  = 2 * time.Second        // of its share that a tenant may ask at once
-	spareShed  = 2.0                    // times the share of scans turned away is the part of that given up
 	widenRate  = 0.12                   // share regained a second
 	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
 	mostShare  = 0.9                    // of a step's parts
@@ -196,10 +195,8 @@
 		return
 	}
 	if sc.step > 0 || m.admit(sc) {
-		m.shed.add(0, gainLat)
 		m.launch(si)
 	} else {
-		m.shed.add(1, gainLat)
 		m.giveUp(si)
 	}
 }
@@ -821,8 +818,7 @@
 		} else {
 			c.share += widenRate * dt
 		}
-		// While scans are turned away the spare above the floor serves better as room for them.
-		c.share = min(1, max(c.share, c.least-(c.least-c.floor)*min(1, spareShed*m.shed.v)))
+		c.share = min(1, max(c.share, c.least))
 	}
 	for i := range m.scans.at {
 		if m.scans.used[i] {
--- a/brain/state.go
+++ b/brain/state.go
@@ -121,7 +121,6 @@
 	carried    float64 // the most of that, forgotten slowly
 	passed     int     // passes since the last beat
 	known      int     // passes since start
-	shed       smooth  // share of scans turned away
 	benefit    smooth  // of a scan
 	size       smooth  // parts of a scan
 	beatAt     time.Duration
