--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,7 +18,7 @@
 	gainSrv    = 0.2                    // smoothing of one searcher's latency
 	clip       = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate = 0.6                    // share given up a second at the threshold
-	floorSpare = 0.35                   // of the way from floor to need, kept: else one lost part loses the scan
+	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses the scan
 	admitShare = 0.8                    // of the time left that a scan may be expected to take
 	poorMost   = 3.0                    // how much sooner a scan is throttled for its benefit a part
 	overPoor   = 2.0                    // the same for a tenant over its share
