--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,8 +43,8 @@
 	boxFirst   = 250 * time.Millisecond // how long a failing searcher is kept off, at first
 	boxMost    = 4 * time.Second        // and at most
 	fadeBack   = 5 * time.Second        // after so long without news a latency is half way to the average
-	coldMargin = 0.7                    // share of the cold budget that is used
-	coldLeast  = 2.0                    // parts a span that go to a cold searcher even when nothing is known yet
+	coldMargin = 1.0                    // share of the cold budget that is used
+	coldLeast  = 3.0                    // parts a span that go to a cold searcher even when nothing is known yet
 	eps        = 5e-5
 )
 
