Cold budget from what searchers carry and how busy they seem

Cause in the incidents with releases and crashes: a searcher carries what is offered, half of what it can, so the cold budget was half of what it might be and the few warm holders jammed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -43,8 +44,8 @@
 	boxFirst   = 250 * time.Millisecond // how long a failing searcher is kept off, at first
 	boxMost    = 4 * time.Second        // and at most
 	fadeBack   = 5 * time.Second        // after so long without news a latency is half way to the average
-	coldMargin = 1.0                    // share of the cold budget that is used
-	coldLeast  = 3.0                    // parts a span that go to a cold searcher even when nothing is known yet
+	busyLeast  = 0.4                    // no less busy than this are searchers held to be
+	coldLeast  = 2.0                    // parts a span that go to a cold searcher even when nothing is known yet
 	eps        = 5e-5
 )
 
@@ -337,7 +338,8 @@
 }
 
 // coldRoom guards against pushing over a searcher that has just started: what this mixer sends it in any
-// span stays under its share of what the searcher can take, judged by what this mixer sends to others.
+// span stays under its share of what the searcher can take, judged by what others of its size were seen to
+// carry for this mixer and how busy they seem. Too little here harms as well: a release then leaves few holders.
 func (m *Mixer) coldRoom(s *srv) bool {
 	if s.started == LongAgo || m.now-s.started >= m.coldFor+m.fallSpan {
 		return true
@@ -345,7 +347,10 @@
 	span := m.fallSpan.Seconds()
 	age := max(0, m.now-s.started-m.fallSpan) // the capacity at the start of the span, the least in it
 	warm := m.coldShare + (1-m.coldShare)*min(1, float64(age)/float64(m.coldFor))
-	budget := max(coldLeast, coldMargin*m.fallMult*warm*m.carried*min(1, s.weight/m.meanWeight)*span)
+	// The others carry what they do at some share of their capacity; latency beside the best one tells which.
+	busy := math.Sqrt(max(busyLeast*busyLeast, 1-m.fast.v/max(m.lat.v, 1e-3)))
+	able := max(m.carried, m.served.v/busy)
+	budget := max(coldLeast, m.fallMult*warm*able*min(1, s.weight/m.meanWeight)*span)
 	brim := max(1, budget/4)
 	return s.cold.fill(m.now, (budget-brim)/span, brim) >= 1
 }
@@ -719,6 +724,11 @@
 	switch out {
 	case Pass:
 		m.passed++
+		if x < m.fast.v {
+			m.fast.add(x, gainLat)
+		} else {
+			m.fast.add(x, gainLat/20)
+		}
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
 	case Fault:
 		// A quick error must not read as a fast searcher.
--- a/brain/state.go
+++ b/brain/state.go
@@ -117,6 +117,7 @@
 	rate       smooth  // passes a second
 	quick      smooth  // the same, over a fraction of a second
 	peak       float64 // the most of that, forgotten slowly
+	fast       smooth  // latency of the quickest parts
 	served     smooth  // passes a second and ready searcher, over seconds
 	carried    float64 // the most of that, forgotten slowly
 	passed     int     // passes since the last beat
