An unreachable searcher is tried by one part at a time and counts as cold when it answers

Symptom: 703 refused connections, then one searcher falls over at 1.2 s after its start, sent 5.4 times what it could do. Cause: ten of 27 searchers die at once and are back before the list tells, and all parts that waited go to the first that takes them. Told from overload by refusals in 0.4 ms. Change: as titled; also guards against restarts that the list never tells of. It could starve a searcher that was only full of connections, for the cold time at most.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -99,7 +99,8 @@
 // ListEntry tells of one searcher.
 func (m *Mixer) ListEntry(i int, st Standing, weight float64, started time.Duration, cell int) {
 	for len(m.srvs) <= i {
-		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo, cold: bucket{at: m.now, level: 1}})
+		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo, back: LongAgo,
+			cold: bucket{at: m.now, level: 1}})
 	}
 	s := &m.srvs[i]
 	if s.started != started || (s.state == Gone && st == Ready) {
@@ -339,13 +340,14 @@
 
 // coldRoom guards against pushing over a searcher that has just started: what this mixer sends it in any
 // span stays under its share of what the searcher can take, judged by what others of its size were seen to
-// carry for this mixer and how busy they seem. Too little here harms as well: a release then leaves few holders.
+// carry for this mixer and how busy they seem. Too little here harms as well: releases then leave few others.
 func (m *Mixer) coldRoom(s *srv) bool {
-	if s.started == LongAgo || m.now-s.started >= m.coldFor+m.fallSpan {
+	start := max(s.started, s.back)
+	if start == LongAgo || m.now-start >= m.coldFor+m.fallSpan {
 		return true
 	}
 	span := m.fallSpan.Seconds()
-	age := max(0, m.now-s.started-m.fallSpan) // the capacity at the start of the span, the least in it
+	age := max(0, m.now-start-m.fallSpan) // the capacity at the start of the span, the least in it
 	warm := m.coldShare + (1-m.coldShare)*min(1, float64(age)/float64(m.coldFor))
 	// The others carry what they do at some share of their capacity; latency beside the best one tells which.
 	busy := math.Sqrt(max(busyLeast*busyLeast, 1-m.fast.v/max(m.lat.v, 1e-3)))
@@ -384,7 +386,9 @@
 	for j := range min(m.reach, n) {
 		for _, i := range m.cells[(p.shard+j)%n] {
 			s := &m.srvs[i]
-			if m.now < s.full || !m.coldRoom(s) {
+			// One that cannot be reached is tried by one part at a time though nobody else be left: the others
+			// keep their tries, and it is not met by all of them in the moment that it is back.
+			if m.now < s.full || s.down && s.parts > 0 || !m.coldRoom(s) {
 				continue
 			}
 			rank := 0
@@ -724,6 +728,12 @@
 	switch out {
 	case Pass:
 		m.passed++
+		if s.down {
+			// One that could not be reached and answers again has most likely just started, long before the list
+			// tells. Against pushing it over with all that waited for it; it could starve one that was only full.
+			s.back, s.down = m.now, false
+			s.cold = bucket{at: m.now, level: 1}
+		}
 		if x < m.fast.v {
 			m.fast.add(x, gainLat)
 		} else {
@@ -754,6 +764,7 @@
 		m.failed(s, 1)
 		return
 	case NoRoute:
+		s.down = true
 		m.failed(s, 0)
 		return
 	case Stale:
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -97,9 +97,7 @@
 		w := newWorld(vary(rand.New(rand.NewSource(5))), 5, 2)
 		w.moody = true
 		for range 200 {
-			w.run(30 * tms)
-			ss, ws := even(5, 2*w.set.Cells)
-			w.scan(0, time.Second, ss, ws)
+			load(w, 0, 5, 30*tms, 30*tms)
 			trouble(w)
 		}
 		return strings.Join(w.log, "\n")
@@ -178,12 +176,8 @@
 func TestShortTriesAreServed(t *testing.T) {
 	w := newWorld(settings(table()), 1, 2)
 	load(w, 0, 3, 50*tms, time.Second)
-	w.log = nil
-	for range 20 {
-		ss, ws := even(3, 8)
-		w.scan(0, 400*tms, ss, ws)
-		w.run(50 * tms)
-	}
+	w.log, w.set.Types[0].Timeout = nil, 400*tms // of the clients, not of the settings the mixer was told
+	load(w, 0, 3, 50*tms, time.Second)
 	if strings.Contains(strings.Join(w.log, "\n"), "throttle") {
 		t.Error("a short first try was throttled")
 	}
@@ -450,3 +444,30 @@
 		}
 	}
 }
+
+// Searchers back from a crash the list had not told of were met by all that waited, and fell over.
+func TestUnreachableSearchersAreMetGently(t *testing.T) {
+	w := newWorld(settings(table()), 1, 2)
+	load(w, 0, 4, 20*tms, time.Second)
+	for i := range w.srvs {
+		w.srvs[i].mood = NoRoute
+	}
+	load(w, 0, 4, 20*tms, 2*time.Second)
+	for range 50 {
+		load(w, 0, 4, 20*tms, 20*tms)
+		for i := range w.m.srvs {
+			if n := w.m.srvs[i].parts; n > 1 {
+				t.Fatalf("%d parts out at an unreachable searcher", n)
+			}
+		}
+	}
+	for i := range w.srvs {
+		w.srvs[i].mood, w.srvs[i].sends = Pass, nil
+	}
+	load(w, 0, 4, 20*tms, 2*time.Second)
+	for i := range w.srvs {
+		if n := len(w.srvs[i].sends); n < 2 || n > 20 {
+			t.Errorf("%d parts in two seconds to a searcher just back", n)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -24,6 +24,8 @@
 	cell    int
 	weight  float64
 	started time.Duration
+	back    time.Duration // when it answered again after it could not be reached
+	down    bool          // could not be reached since it last answered
 	lat     smooth
 	heard   time.Duration // last answer
 	since   time.Duration // last sign of life, or when the first of the present parts went out
