--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -100,7 +100,10 @@
 			load(w, 0, 5, 30*tms, 30*tms)
 			trouble(w)
 		}
-		return strings.Join(w.log, "\n")
+		if w.broken != "" {
+			t.Error(w.broken)
+		}
+		return strings.Join(w.log, "\n") + w.broken
 	}
 	if a, b := day(), day(); a != b || a == "" {
 		t.Error("two runs of the same events differ")
@@ -109,7 +112,7 @@
 
 // load sends scans of n parts at a steady pace, for a while.
 func load(w *world, cl, n int, every, during time.Duration) {
-	for end := w.now + during; w.now < end; w.run(every) {
+	for end := w.now + during; w.now < end && w.broken == ""; w.run(every) {
 		ss, ws := even(n, 2*w.set.Cells)
 		w.scan(cl, w.set.Types[cl].Timeout, ss, ws)
 	}
