--- a/brain/brain.go
+++ b/brain/brain.go
@@ -746,19 +746,11 @@
 		m.failed(s, 1)
 		x = max(x, m.weigh(s), m.avg)
 	case TooSlow, Undone:
-		silent := t.at >= s.since || m.stuck(s)
-		if silent {
-			m.failed(s, 0)
-		}
 		if !s.lat.heard || x < s.lat.v {
 			return
 		}
-		if silent {
-			// Nothing came from there all the time: this tells of one searcher, and narrowing or throttling
-			// everything would not help it. In a jam of all, searchers do answer in between.
-			s.lat.add(x, gainSrv)
-			m.average()
-			return
+		if t.at >= s.since || m.stuck(s) {
+			m.failed(s, 0)
 		}
 	case NoRoom:
 		s.since = m.now
