--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,40 +14,39 @@
 
 // Tuned values. Those that stand for a time are shares of something measured or told wherever one exists.
 const (
-	beat        = 50 * time.Millisecond  // how often waiting things are looked at again
-	gainLat     = 0.08                   // smoothing of this mixer's part latency
-	gainSrv     = 0.2                    // smoothing of one searcher's latency
-	clip        = 3.0                    // one sample counts as this many times the mean at most
-	narrowRate  = 0.6                    // share given up a second at the threshold
-	floorSpare  = 0.2                    // of the way from floor to need, kept: else one lost part loses the scan
-	admitShare  = 0.8                    // of the time left that a scan may be expected to take
-	poorMost    = 3.0                    // how much sooner a scan is throttled for its benefit a part
-	overPoor    = 2.0                    // the same for a tenant over its share
-	quotaBrim   = 2 * time.Second        // of its share that a tenant may ask at once
-	widenRate   = 0.12                   // share regained a second
-	nearShare   = 0.6                    // of its target: a scan that took longer moves the threshold
-	mostShare   = 0.9                    // of a step's parts
-	nearGain    = 0.5                    // of the way, for each such scan
-	ratioMost   = 4.0                    // part latencies; a scan counts as no longer
-	nearBack    = 0.02                   // of the way back to the target, for each other scan
-	thrLeast    = 0.1                    // of the target; the threshold goes no lower
-	quickSpan   = 300 * time.Millisecond // over which the best pace of passes is taken
-	peakFade    = 20 * time.Second       // over which the most seen is forgotten
-	knownLeast  = 100                    // passes before that pace is trusted
-	hedgeDevs   = 3.0                    // mean deviations past the mean at which a part counts as late
-	hedgeWorse  = 1.2                    // times as slow as another holder: from there a late part is sent again
-	cancelWorse = 3.0                    // the same, where the late part has to be called off for it
-	silentLats  = 2.5                    // a searcher silent for so many part latencies counts as stuck
-	lastTry     = 3.0                    // expected times; with more left the last try waits for a sound holder
-	extraShare  = 0.1                    // further dispatches allowed for each first one
-	extraBrim   = 15.0
-	askFirst    = 500 * time.Millisecond // till a failed list call is made again, at first
-	boxFirst    = 250 * time.Millisecond // how long a failing searcher is kept off, at first
-	boxMost     = 4 * time.Second        // and at most
-	fadeBack    = 5 * time.Second        // after so long without news a latency is half way to the average
-	busyLeast   = 0.4                    // no less busy than this are searchers held to be
-	coldLeast   = 2.0                    // parts a span that go to a cold searcher even when nothing is known yet
-	eps         = 5e-5
+	beat       = 50 * time.Millisecond  // how often waiting things are looked at again
+	gainLat    = 0.08                   // smoothing of this mixer's part latency
+	gainSrv    = 0.2                    // smoothing of one searcher's latency
+	clip       = 3.0                    // one sample counts as this many times the mean at most
+	narrowRate = 0.6                    // share given up a second at the threshold
+	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses the scan
+	admitShare = 0.8                    // of the time left that a scan may be expected to take
+	poorMost   = 3.0                    // how much sooner a scan is throttled for its benefit a part
+	overPoor   = 2.0                    // the same for a tenant over its share
+	quotaBrim  = 2 * time.Second        // of its share that a tenant may ask at once
+	widenRate  = 0.12                   // share regained a second
+	nearShare  = 0.6                    // of its target: a scan that took longer moves the threshold
+	mostShare  = 0.9                    // of a step's parts
+	nearGain   = 0.5                    // of the way, for each such scan
+	ratioMost  = 4.0                    // part latencies; a scan counts as no longer
+	nearBack   = 0.02                   // of the way back to the target, for each other scan
+	thrLeast   = 0.1                    // of the target; the threshold goes no lower
+	quickSpan  = 300 * time.Millisecond // over which the best pace of passes is taken
+	peakFade   = 20 * time.Second       // over which the most seen is forgotten
+	knownLeast = 100                    // passes before that pace is trusted
+	hedgeDevs  = 3.0                    // mean deviations past the mean at which a part counts as late
+	hedgeWorse = 1.2                    // times as slow as another holder: from there a late part is sent again
+	silentLats = 2.5                    // a searcher silent for so many part latencies counts as stuck
+	lastTry    = 3.0                    // expected times; with more left the last try waits for a sound holder
+	extraShare = 0.1                    // further dispatches allowed for each first one
+	extraBrim  = 15.0
+	askFirst   = 500 * time.Millisecond // till a failed list call is made again, at first
+	boxFirst   = 250 * time.Millisecond // how long a failing searcher is kept off, at first
+	boxMost    = 4 * time.Second        // and at most
+	fadeBack   = 5 * time.Second        // after so long without news a latency is half way to the average
+	busyLeast  = 0.4                    // no less busy than this are searchers held to be
+	coldLeast  = 2.0                    // parts a span that go to a cold searcher even when nothing is known yet
+	eps        = 5e-5
 )
 
 // New starts a mixer that knows nothing but its settings.
@@ -880,15 +879,14 @@
 			continue
 		}
 		// When all holders are slow alike a second copy only adds to the jam.
-		i := m.pick(p, 1)
-		if i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
+		if i := m.pick(p, 1); i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
 			continue
 		}
 		if m.copies {
 			if m.dispatch(pi, 1) {
 				m.extra.level--
 			}
-		} else if (stuck || m.weigh(s) > cancelWorse*m.weigh(&m.srvs[i])) && len(p.tries) < m.tries && m.mayAfter(p) {
+		} else if stuck && len(p.tries) < m.tries && m.mayAfter(p) {
 			m.act.Cancel(p.id, len(p.tries)-1)
 			m.extra.level--
 		}
