--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,7 +36,6 @@
 	knownLeast = 100                    // passes before that pace is trusted
 	hedgeDevs  = 3.0                    // mean deviations past the mean at which a part counts as late
 	hedgeWorse = 1.2                    // times as slow as another holder: from there a late part is sent again
-	copyPart   = 8                      // one part in so many of a scan may be copied, and one more
 	silentLats = 2.5                    // a searcher silent for so many part latencies counts as stuck
 	lastTry    = 3.0                    // expected times; with more left the last try waits for a sound holder
 	extraShare = 0.1                    // further dispatches allowed for each first one
@@ -884,9 +883,7 @@
 			continue
 		}
 		if m.copies {
-			// A scan most of whose parts are late is heavy itself: its copies would be as late, and cost the others.
-			if sc.copies <= (len(sc.parts)-sc.first)/copyPart && m.dispatch(pi, 1) {
-				sc.copies++
+			if m.dispatch(pi, 1) {
 				m.extra.level--
 			}
 		} else if stuck && len(p.tries) < m.tries && m.mayAfter(p) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -78,7 +78,6 @@
 	expect    int
 	step      int
 	repeat    bool
-	copies    int           // second copies sent
 	whole     bool          // the first step's answer was
 	most      time.Duration // when most parts of the first step were in
 	taught    bool          // has moved the threshold while in hand
