Tidy: what may have run is derived from the tries, one walk over a shard's holders

A part no longer keeps a copy of what its tries say; pick and orphan share one walk; what does not change within a beat is worked out once; late parts get a function of their own; a dead field of the adapter is gone. New test: a failing searcher is tried by one part at a time, which no test had held.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -308,20 +309,34 @@
 // is left out though it is heavy, as long as the rest stays above the narrowest share. Against narrowing that
 // idles light shards while the hot one stays overloaded, and against shards without a holder.
 func (m *Mixer) hopeless(p *part, sc *scan) bool {
+	if m.orphan(p) {
+		return true
+	}
 	best := m.pick(p, 1)
-	return m.orphan(p) || best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
+	return best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
 }
 
 // orphan tells that the list names nobody for a part's shard.
 func (m *Mixer) orphan(p *part) bool {
-	for j := range min(m.reach, len(m.cells)) {
-		if len(m.cells[(p.shard+j)%len(m.cells)]) > 0 {
-			return false
-		}
+	for range m.holders(p.shard) {
+		return false
 	}
 	return true
 }
 
+// holders walks the searchers that may be sent a shard's parts.
+func (m *Mixer) holders(shard int) iter.Seq[int32] {
+	return func(yield func(int32) bool) {
+		for j := range min(m.reach, len(m.cells)) {
+			for _, i := range m.cells[(shard+j)%len(m.cells)] {
+				if !yield(i) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // fair is how many parts of a scan may ride in one call before the call weighs like another.
 func (m *Mixer) fair(sc *scan) int {
 	if m.bundle == 1 {
@@ -382,35 +397,32 @@
 // pick applies the replica rule among the shard's holders; sound ones go first, ones tried already last.
 func (m *Mixer) pick(p *part, fair int) int32 {
 	best, bestRank, bestCost := int32(-1), 9, 0.0
-	n := len(m.cells)
-	for j := range min(m.reach, n) {
-		for _, i := range m.cells[(p.shard+j)%n] {
-			s := &m.srvs[i]
-			// One that cannot be reached is tried by one part at a time though nobody else be left: the others
-			// keep their tries, and it is not met by all of them in the moment that it is back.
-			if m.now < s.full || s.down && s.parts > 0 || !m.coldRoom(s) {
-				continue
-			}
-			rank := 0
-			if m.sick(s) {
-				rank = 1
-			}
-			for t := range p.tries {
-				if p.tries[t].srv == i {
-					rank = max(rank, 2)
-					if p.tries[t].out {
-						rank = 9
-					}
+	for i := range m.holders(p.shard) {
+		s := &m.srvs[i]
+		// One that cannot be reached is tried by one part at a time though nobody else be left: the others
+		// keep their tries, and it is not met by all of them in the moment that it is back.
+		if m.now < s.full || s.down && s.parts > 0 || !m.coldRoom(s) {
+			continue
+		}
+		rank := 0
+		if m.sick(s) {
+			rank = 1
+		}
+		for t := range p.tries {
+			if p.tries[t].srv == i {
+				rank = max(rank, 2)
+				if p.tries[t].out {
+					rank = 9
 				}
 			}
-			out := float64(s.out + 1)
-			if m.joins(s, fair) {
-				out--
-			}
-			cost := m.weigh(s) * out
-			if rank < bestRank || (rank == bestRank && cost < bestCost) {
-				best, bestRank, bestCost = i, rank, cost
-			}
+		}
+		out := float64(s.out + 1)
+		if m.joins(s, fair) {
+			out--
+		}
+		cost := m.weigh(s) * out
+		if rank < bestRank || (rank == bestRank && cost < bestCost) {
+			best, bestRank, bestCost = i, rank, cost
 		}
 	}
 	return best
@@ -476,23 +488,13 @@
 		return true
 	}
 	c := &m.cls[p.class]
-	if p.live > 0 && !m.copies || (p.may || p.live > 0) && c.effect == NonReplayable {
+	from, ran := p.exposed()
+	switch {
+	case p.live > 0 && !m.copies,
+		ran && c.effect == NonReplayable,
+		ran && c.effect == Keyed && m.now-from >= c.window-2*m.round:
 		return false
 	}
-	if c.effect == Keyed && (p.may || p.live > 0) {
-		from := m.now
-		if p.may {
-			from = p.mayAt
-		}
-		for t := range p.tries {
-			if p.tries[t].out {
-				from = min(from, p.tries[t].at)
-			}
-		}
-		if m.now-from >= c.window-2*m.round {
-			return false
-		}
-	}
 	if m.budgeted {
 		room := m.budFree + m.budShare*float64(m.taken.low(m.now, m.budSpan))
 		return float64(m.agains.high(m.now, m.budSpan)+1) <= room
@@ -500,6 +502,16 @@
 	return true
 }
 
+// exposed is when the first dispatch went out that is not proved never to have run, if there is one.
+func (p *part) exposed() (at time.Duration, ran bool) {
+	for i := range p.tries {
+		if t := &p.tries[i]; !t.never {
+			return t.at, true
+		}
+	}
+	return 0, false
+}
+
 // mayAfter tells whether a part that is called off now may still go elsewhere when that is confirmed.
 func (m *Mixer) mayAfter(p *part) bool {
 	c := &m.cls[p.class]
@@ -522,13 +534,8 @@
 	if out != Pass {
 		p.failAt = m.now
 	}
+	t.never = out == NoRoom || out == NoRoute || out == Stale
 	m.learn(p, t, out, took)
-	if out != NoRoom && out != NoRoute && out != Stale {
-		if !p.may || t.at < p.mayAt {
-			p.mayAt = t.at
-		}
-		p.may = true
-	}
 	if p.over {
 		m.close(pi)
 	} else if !p.in && !p.lost {
@@ -564,7 +571,7 @@
 	if m.worthIt(sc) && m.dispatch(pi, 1) {
 		return
 	}
-	if len(p.tries) >= m.tries || (p.may && m.cls[p.class].effect == NonReplayable) {
+	if _, ran := p.exposed(); len(p.tries) >= m.tries || ran && m.cls[p.class].effect == NonReplayable {
 		p.lost = true
 		sc.gone += p.weight
 	}
@@ -676,7 +683,8 @@
 // ran tells whether any part sent so far may have run; what is not proved otherwise may.
 func (m *Mixer) ran(sc *scan) bool {
 	return sc.ran || slices.ContainsFunc(sc.parts[sc.first:], func(pi int32) bool {
-		return m.parts.at[pi].may || m.parts.at[pi].live > 0
+		_, ran := m.parts.at[pi].exposed()
+		return ran
 	})
 }
 
@@ -838,9 +846,10 @@
 		m.act.Subscribe()
 		m.askAt = 0
 	}
+	press := m.press()
 	for i := range m.cls {
 		c := &m.cls[i]
-		if press := m.press(); press > c.thr {
+		if press > c.thr {
 			c.share -= narrowRate * dt * min(2, press/c.thr)
 		} else {
 			c.share += widenRate * dt
@@ -861,35 +870,40 @@
 		sc.taught = true
 		m.stretch(sc)
 	}
-	late := m.lat.v + hedgeDevs*m.dev.v
-	for _, pi := range sc.parts[sc.first:] {
-		p := &m.parts.at[pi]
-		if p.in || p.lost || !m.worthIt(sc) {
-			continue
-		}
-		if p.live == 0 {
-			m.again(pi, sc)
-			continue
-		}
-		t := &p.tries[len(p.tries)-1]
-		age := (m.now - t.at).Seconds()
-		s := &m.srvs[t.srv]
-		stuck := m.stuck(s)
-		if !m.lat.heard || age < late && !stuck || m.extra.level < 1 || p.live > 1 {
-			continue
-		}
-		// When all holders are slow alike a second copy only adds to the jam.
-		if i := m.pick(p, 1); i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
-			continue
-		}
-		if m.copies {
-			if m.dispatch(pi, 1) {
-				m.extra.level--
+	if m.worthIt(sc) {
+		for _, pi := range sc.parts[sc.first:] {
+			if p := &m.parts.at[pi]; p.in || p.lost {
+				continue
+			} else if p.live == 0 {
+				m.again(pi, sc)
+			} else {
+				m.hasten(pi)
 			}
-		} else if stuck && len(p.tries) < m.tries && m.mayAfter(p) {
-			m.act.Cancel(p.id, len(p.tries)-1)
-			m.extra.level--
 		}
 	}
 	sc.next(m, si, result{part: -1})
 }
+
+// hasten sends a late part elsewhere too, or, where copies are barred, calls it off to do so.
+func (m *Mixer) hasten(pi int32) {
+	p := &m.parts.at[pi]
+	t := &p.tries[len(p.tries)-1]
+	s := &m.srvs[t.srv]
+	stuck := m.stuck(s)
+	late := (m.now - t.at).Seconds() >= m.lat.v+hedgeDevs*m.dev.v
+	if !m.lat.heard || !late && !stuck || m.extra.level < 1 || p.live > 1 {
+		return
+	}
+	// When all holders are slow alike a second copy only adds to the jam.
+	if i := m.pick(p, 1); i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
+		return
+	}
+	if m.copies {
+		if m.dispatch(pi, 1) {
+			m.extra.level--
+		}
+	} else if stuck && len(p.tries) < m.tries && m.mayAfter(p) {
+		m.act.Cancel(p.id, len(p.tries)-1)
+		m.extra.level--
+	}
+}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -473,3 +473,13 @@
 		}
 	}
 }
+
+func TestFailingSearcherIsTriedByOnePart(t *testing.T) {
+	w := newWorld(settings(table()), 1, 1)
+	w.m.srvs[0].lat, w.m.srvs[1].lat = smooth{v: 0.01, heard: true}, smooth{v: 0.2, heard: true}
+	w.m.srvs[0].fails = 1
+	w.scan(0, 2*time.Second, []int{0, 0, 0}, []float64{0.4, 0.3, 0.3})
+	if text := strings.Join(w.log, "\n") + "\n"; strings.Count(text, " 0\n") != 1 {
+		t.Error(text)
+	}
+}
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -230,7 +230,7 @@
 	return n
 }
 
-// cold judges by what a warm searcher was seen to carry, as idle as one may be held to be, and a few parts more.
+// cold judges by what a warm searcher was seen to carry, as idle as one may be held to be, and a few more.
 func (w *world) cold(s *wsrv, srv int) {
 	s.sends = append(s.sends, w.now)
 	for i := range w.srvs {
@@ -243,7 +243,8 @@
 		return
 	}
 	share := w.set.ColdShare + (1-w.set.ColdShare)*age.Seconds()/w.set.ColdFor.Seconds()
-	if n := within(s.sends, w.now, w.set.FallSpan); float64(n) > coldLeast+1+w.set.FallMultiple*share*w.peak/busyLeast {
+	most := coldLeast + 1 + w.set.FallMultiple*share*w.peak/busyLeast
+	if n := within(s.sends, w.now, w.set.FallSpan); float64(n) > most {
 		w.fail("cold searcher %d was sent %d", srv, n)
 	}
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -49,6 +49,7 @@
 	srv, call int32
 	at        time.Duration
 	out       bool
+	never     bool // proved never to have run
 }
 
 type part struct {
@@ -59,13 +60,11 @@
 	weight float64
 	tie    float64
 	tries  []try
-	live   int  // tries out
-	in     bool // its answer counts
-	lost   bool // nothing more will come of it
-	over   bool // its scan has ended
-	mayAt  time.Duration
+	live   int           // tries out
+	in     bool          // its answer counts
+	lost   bool          // nothing more will come of it
+	over   bool          // its scan has ended
 	failAt time.Duration // when a dispatch last came back without an answer
-	may    bool
 }
 
 type scan struct {
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -16,11 +16,11 @@
 )
 
 type entry struct {
-	addr             string
-	weight, started  float64
-	cell             int
-	dated, undefined bool
-	state            brain.Standing
+	addr            string
+	weight, started float64
+	cell            int
+	dated           bool
+	state           brain.Standing
 }
 
 type host struct {
