--- a/internal/simwire/settings.go
+++ b/internal/config/settings.go
@@ -1,8 +1,8 @@
-package simwire
+package config
 
 import (
-	"bytes"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +10,20 @@
 	"peathollow/brain"
 )
 
+// Settings is what an instance is told of its deployment: the module's part of it, the names by which clients
+// call things, and the facts that only a mixer on sockets needs.
+type Settings struct {
+	Brain          brain.Settings
+	Types, Tenants map[string]int
+	Shards         int
+	OpenMost       int
+	Streams        int // parts that one connection carries at once
+	Idle           time.Duration
+	Connect        time.Duration
+	Slack          time.Duration
+	MayCancel      bool
+}
+
 // conf reads settings by path and keeps the first complaint.
 type conf struct {
 	kv  map[string]string
@@ -31,21 +45,22 @@
 }
 
 func (c *conf) float(path string) float64 {
-	x, err := number([]byte(c.text(path)), 0)
+	x, err := Number(c.text(path), 0)
 	if err != nil {
 		c.fail(path, "unreadable")
 	}
 	return x
 }
 
-func (c *conf) maybe(path string) float64 {
+func (c *conf) or(path string, absent float64) float64 {
 	if _, ok := c.kv[path]; !ok {
-		return 0
+		return absent
 	}
 	return c.float(path)
 }
 
-func (c *conf) span(path string) time.Duration { return span(c.float(path)) }
+func (c *conf) maybe(path string) float64      { return c.or(path, 0) }
+func (c *conf) span(path string) time.Duration { return Span(c.float(path)) }
 func (c *conf) int(path string) int            { return int(c.float(path)) }
 
 func (c *conf) bool(path string) bool {
@@ -73,16 +88,21 @@
 	return x
 }
 
+// above reads a figure that must be more than 0.
+func (c *conf) above(path string, absent float64) float64 {
+	x := c.or(path, absent)
+	if !(x > 0) {
+		c.fail(path, "must be above 0")
+	}
+	return x
+}
+
 var effects = map[string]brain.Effect{"free": brain.Replayable, "guarded": brain.Keyed, "single_shot": brain.NonReplayable}
 
-func (in *inst) settings(seed uint64, pairs [][]byte) (s brain.Settings, err error) {
-	c := &conf{kv: map[string]string{}}
-	for _, p := range pairs {
-		if k, v, ok := bytes.Cut(p, []byte("=")); ok {
-			c.kv[string(k)] = string(v)
-		}
-	}
-	s = brain.Settings{Seed: seed, Me: c.int("me"), Mixers: c.int("balancers"),
+// Read takes settings as path and value, the form of the bench's wire, for an instance with that seed.
+func Read(kv map[string]string, seed uint64) (Settings, error) {
+	c := &conf{kv: kv}
+	s := brain.Settings{Seed: seed, Me: c.int("me"), Mixers: c.int("balancers"),
 		Cells: c.int("domain.places"), Reach: c.int("domain.width"), PartsPerCall: c.int("domain.bundleMax"),
 		MaxTries:     c.int("limits.attemptsCap"),
 		SecondCopies: c.bool("limits.secondCopies"), RetryAdvice: c.bool("limits.retryAfter"),
@@ -90,9 +110,13 @@
 		Round: c.span("granularity"), AskEvery: c.span("rules.askEvery"),
 		ColdFor: c.span("rules.cold"), FallSpan: c.span("rules.fall"), ColdShare: c.float("rules.startCapacity"),
 		FallMultiple: c.float("rules.fallMultiple"), BudgetFree: c.maybe("rules.budgetFree"),
-		BudgetShare: c.maybe("rules.resendRatio"), BudgetSpan: span(c.maybe("rules.resendSpan"))}
+		BudgetShare: c.maybe("rules.resendRatio"), BudgetSpan: Span(c.maybe("rules.resendSpan"))}
 	s.Budgeted = s.BudgetSpan > 0
-	in.types, in.tenants = map[string]int{}, map[string]int{}
+	set := Settings{Types: map[string]int{}, Tenants: map[string]int{},
+		Shards: c.int("domain.ranges"), OpenMost: int(c.above("limits.maxOpen", 20000)),
+		Streams: int(c.above("limits.streamsPerConn", 32)), Idle: Span(c.above("limits.connIdle", 15000)),
+		Connect: Span(c.above("limits.connectTimeout", 250)), Slack: c.span("rules.answerSlack"),
+		MayCancel: c.kv["limits.cancel"] == "true"}
 	for i := range c.int("requestClasses.count") {
 		at := fmt.Sprintf("requestClasses.%d.", i)
 		kind, ok := effects[c.text(at+"semantics")]
@@ -100,20 +124,38 @@
 			c.fail(at+"semantics", "unreadable")
 		}
 		t := brain.TableType{Target: c.span(at + "objective"), Timeout: c.span(at + "deadline"),
-			RepeatWindow: span(c.maybe(at + "keyTtl")), LateShare: c.float(at + "lateWorth"),
+			RepeatWindow: Span(c.maybe(at + "keyTtl")), LateShare: c.float(at + "lateWorth"),
 			Benefit: c.float(at + "points"), Stretch: c.maybe(at + "aimStretch"), Effect: kind,
 			Need: c.nth("domain.wholeAt", i), Floor: c.nth("domain.floorByClass", i),
 			SecondStep: int(c.nth("domain.secondStep", i))}
-		in.types[c.text(at+"name")] = i
+		set.Types[c.text(at+"name")] = i
 		s.Types = append(s.Types, t)
 	}
 	for i := range int(c.maybe("parties.count")) {
 		at := fmt.Sprintf("parties.%d.", i)
-		in.tenants[c.text(at+"name")] = i
+		set.Tenants[c.text(at+"name")] = i
 		s.Quotas = append(s.Quotas, c.float(at+"quotaPerS"))
 	}
 	if c.err == nil && (s.Cells < 1 || s.Reach < 1 || s.Round <= 0) {
 		c.fail("domain.places, domain.width or granularity", "must be above 0")
 	}
-	return s, c.err
+	set.Brain = s
+	return set, c.err
+}
+
+// Number reads a figure; - stands for the absent one.
+func Number(s string, absent float64) (float64, error) {
+	if s == "-" {
+		return absent, nil
+	}
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0, fmt.Errorf("unreadable value %.40q", s)
+	}
+	return x, nil
+}
+
+// Span counts whole microseconds, as the wire's clock does.
+func Span(ms float64) time.Duration {
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
 }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,130 @@
+// Package discovery follows the list of searchers: the whole list first, then an unbroken watch.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"peathollow/brain"
+	"peathollow/internal/proto"
+)
+
+// Limits are the sizes and times of the watch.
+type Limits struct {
+	Body  int64         // bytes of an answer
+	Call  time.Duration // for an answer that need not wait
+	Wait  time.Duration // a watch may wait
+	Pause time.Duration // after a failure, unless asked sooner
+}
+
+// Watcher asks one discovery service.
+type Watcher struct {
+	addr string
+	lim  Limits
+	tell func(brain.ListMode, proto.List)
+	kick chan struct{}
+	http *http.Client
+	at   int64
+}
+
+// New makes a watcher that hands on what it is told, in order.
+func New(addr string, lim Limits, tell func(brain.ListMode, proto.List)) *Watcher {
+	tr := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	return &Watcher{addr: addr, lim: lim, tell: tell, kick: make(chan struct{}, 1), http: &http.Client{Transport: tr}}
+}
+
+// Ask cuts a pause short.
+func (w *Watcher) Ask() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+var errOld = errors.New("an older version than before")
+
+// Run follows the list until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	defer w.http.CloseIdleConnections()
+	for whole := true; ctx.Err() == nil; {
+		l, err := w.next(ctx, whole)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			// Only a version that went back makes the list held worthless; a silent service does not.
+			whole = whole || errors.Is(err, errOld)
+			w.tell(brain.Failed, proto.List{})
+			w.rest(ctx)
+			continue
+		}
+		whole = false
+		w.at = l.Version
+		switch {
+		case l.Whole:
+			w.tell(brain.Whole, l)
+		case len(l.Hosts) > 0:
+			w.tell(brain.Changes, l)
+		}
+	}
+}
+
+func (w *Watcher) rest(ctx context.Context) {
+	select {
+	case <-w.kick: // one from before the failure asks for nothing new
+	default:
+	}
+	t := time.NewTimer(w.lim.Pause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-w.kick:
+	}
+}
+
+func (w *Watcher) next(ctx context.Context, whole bool) (proto.List, error) {
+	url, limit := "http://"+w.addr+"/v1/endpoints", w.lim.Call
+	if !whole {
+		url += fmt.Sprintf("?after=%d&wait_ms=%d", w.at, w.lim.Wait.Milliseconds())
+		limit += w.lim.Wait
+	}
+	ctx, done := context.WithTimeout(ctx, limit)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return proto.List{}, fmt.Errorf("discovery: %w", err)
+	}
+	res, err := w.http.Do(req)
+	if err != nil {
+		return proto.List{}, fmt.Errorf("discovery: %w", err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, w.lim.Body+1))
+	switch {
+	case err != nil:
+		return proto.List{}, fmt.Errorf("discovery: %w", err)
+	case res.StatusCode != http.StatusOK:
+		return proto.List{}, fmt.Errorf("discovery: status %d", res.StatusCode)
+	case int64(len(body)) > w.lim.Body:
+		return proto.List{}, fmt.Errorf("discovery: more than %d bytes", w.lim.Body)
+	}
+	l, err := proto.ReadList(body)
+	if err != nil {
+		return l, fmt.Errorf("discovery: %w", err)
+	}
+	if !whole && l.Version < w.at {
+		return l, errOld
+	}
+	if !whole && !l.Whole && l.Version == w.at {
+		l.Hosts = nil // told before
+	}
+	if whole && !l.Whole {
+		return l, errors.New("discovery: changes where the whole list was asked for")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,206 @@
+// Package link keeps one connection to a searcher: frames go out in order, answers come back in any order. It
+// reports what happened and decides nothing.
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"peathollow/internal/proto"
+)
+
+// Limits are the sizes and times of a connection.
+type Limits struct {
+	Frame   int           // bytes of a frame from a searcher
+	Queue   int           // frames that wait to be written
+	Connect time.Duration // for a connection to come up
+	Write   time.Duration // for the searcher to take what is written
+}
+
+// Events are told from the connection's own goroutines. Closed comes once, after all else.
+type Events interface {
+	Answered(c *Conn, a proto.Answer)
+	Written(c *Conn, seq uint64) // only of frames sent with tell
+	Closed(c *Conn, why error)
+}
+
+type frame struct {
+	seq  uint64
+	body []byte
+	tell bool
+}
+
+// Conn is one connection, perhaps still coming up.
+type Conn struct {
+	Addr string
+	lim  Limits
+	ev   Events
+	stop context.CancelCauseFunc
+	wake chan struct{}
+
+	mu      sync.Mutex
+	queue   []frame
+	last    uint64 // the last frame taken in
+	written uint64 // the last frame whose last byte was written
+	nc      net.Conn
+	shut    bool
+}
+
+var (
+	errShut  = errors.New("closed by this mixer")
+	errFrame = errors.New("searcher could not use a frame")
+)
+
+// Open starts a connection; what is sent before it is up waits.
+func Open(ctx context.Context, addr string, lim Limits, ev Events) *Conn {
+	c := &Conn{Addr: addr, lim: lim, ev: ev, wake: make(chan struct{}, 1)}
+	ctx, c.stop = context.WithCancelCause(ctx)
+	go c.run(ctx)
+	return c
+}
+
+// Send queues a frame and gives its number; false if the connection takes no more.
+func (c *Conn) Send(body []byte, tell bool) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut || len(c.queue) >= c.lim.Queue {
+		return 0, false
+	}
+	c.last++
+	c.queue = append(c.queue, frame{c.last, body, tell})
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return c.last, true
+}
+
+// Recall takes back a frame of which nothing was written yet.
+func (c *Conn) Recall(seq uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.queue {
+		if c.queue[i].seq == seq {
+			c.queue = append(c.queue[:i], c.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Ran tells whether a frame's last byte was written, so that it may have run.
+func (c *Conn) Ran(seq uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return seq <= c.written
+}
+
+// Close ends the connection; Closed follows.
+func (c *Conn) Close() { c.stop(errShut) }
+
+func (c *Conn) run(ctx context.Context) {
+	err := c.serve(ctx)
+	c.mu.Lock()
+	c.shut = true
+	c.mu.Unlock()
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	c.stop(err)
+	c.ev.Closed(c, err)
+}
+
+func (c *Conn) serve(ctx context.Context) error {
+	d := net.Dialer{Timeout: c.lim.Connect, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	// Closing is what ends a blocked read or write.
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	defer nc.Close()
+	read := make(chan error, 1)
+	go func() {
+		err := c.read(nc)
+		c.stop(err)
+		read <- err
+	}()
+	err = c.write(ctx, nc)
+	c.stop(err)
+	nc.Close()
+	// What the searcher said before the end still counts, and comes before Closed.
+	if why := <-read; err == nil {
+		err = why
+	}
+	return err
+}
+
+func (c *Conn) write(ctx context.Context, nc net.Conn) error {
+	var buf []byte
+	var batch []frame
+	for {
+		c.mu.Lock()
+		batch, c.queue = append(batch[:0], c.queue...), c.queue[:0]
+		c.mu.Unlock()
+		if len(batch) == 0 {
+			select {
+			case <-c.wake:
+				continue
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			}
+		}
+		buf = buf[:0]
+		for i := range batch {
+			buf = append(buf, batch[i].body...)
+		}
+		if err := nc.SetWriteDeadline(time.Now().Add(c.lim.Write)); err != nil {
+			return err
+		}
+		n, err := nc.Write(buf)
+		for i := range batch {
+			if n -= len(batch[i].body); n < 0 {
+				break
+			}
+			c.mu.Lock()
+			c.written = batch[i].seq
+			c.mu.Unlock()
+			if batch[i].tell {
+				c.ev.Written(c, batch[i].seq)
+			}
+		}
+		if err != nil {
+			return fmt.Errorf("write: %w", err)
+		}
+	}
+}
+
+func (c *Conn) read(nc net.Conn) error {
+	r := bufio.NewReaderSize(nc, 4096)
+	var buf, rest []byte
+	for {
+		var letter byte
+		var err error
+		if letter, rest, buf, err = proto.ReadFrame(r, buf, c.lim.Frame); err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		switch letter {
+		case proto.LetterAnswer:
+			a, err := proto.ReadAnswer(rest)
+			if err != nil {
+				return err
+			}
+			c.ev.Answered(c, a)
+		case proto.LetterEnd:
+			return fmt.Errorf("%w: %.100q", errFrame, rest)
+		case proto.LetterProbe, proto.LetterLoad:
+		default:
+			return fmt.Errorf("frame with letter %q", letter)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proto/frame.go
@@ -0,0 +1,133 @@
+package proto
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"peathollow/brain"
+)
+
+// Letters of frames.
+const (
+	LetterCall   = 'D'
+	LetterGiveUp = 'K'
+	LetterAnswer = 'O'
+	LetterProbe  = 'I'
+	LetterLoad   = 'U'
+	LetterEnd    = 'Z'
+)
+
+// Call is one part on its way to a searcher.
+type Call struct {
+	ID    string
+	Shard int
+	Wait  time.Duration
+	Key   string
+	From  []int // for a second step: the shards that were in
+	Whole bool  // and whether the first step's answer was
+	Text  string
+}
+
+// AppendCalls writes one frame that carries the parts of one call.
+func AppendCalls(b []byte, calls ...Call) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, LetterCall)
+	for i := range calls {
+		c := &calls[i]
+		b = append(append(b, c.ID...), ' ')
+		b = append(strconv.AppendInt(b, int64(c.Shard), 10), " d="...)
+		b = strconv.AppendInt(b, max(1, c.Wait.Milliseconds()), 10)
+		if c.Key != "" {
+			b = append(append(b, ",k="...), c.Key...)
+		}
+		if len(c.From) > 0 {
+			b = append(b, ",from="...)
+			for j, s := range c.From {
+				if j > 0 {
+					b = append(b, '+')
+				}
+				b = strconv.AppendInt(b, int64(s), 10)
+			}
+			b = append(b, ",whole="...)
+			if c.Whole {
+				b = append(b, '1')
+			} else {
+				b = append(b, '0')
+			}
+		}
+		b = append(b, ' ')
+		b = append(strconv.AppendInt(b, int64(len(c.Text)), 10), '\n')
+		b = append(b, c.Text...)
+	}
+	return seal(b, at)
+}
+
+// AppendGiveUp writes the frame that gives up one part.
+func AppendGiveUp(b []byte, id string) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, LetterGiveUp)
+	return seal(append(b, id...), at)
+}
+
+func seal(b []byte, at int) []byte {
+	binary.LittleEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+// ReadFrame reads one frame into buf, grown as needed, and gives its letter and the rest.
+func ReadFrame(r io.Reader, buf []byte, most int) (letter byte, rest, grown []byte, err error) {
+	var head [4]byte
+	if _, err = io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, buf, err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n < 1 || uint64(n) > uint64(most) {
+		return 0, nil, buf, fmt.Errorf("frame of %d bytes", n)
+	}
+	if cap(buf) < int(n) {
+		buf = make([]byte, n)
+	}
+	buf = buf[:n]
+	if _, err = io.ReadFull(r, buf); err != nil {
+		return 0, nil, buf, fmt.Errorf("frame cut short: %w", err)
+	}
+	return buf[0], buf[1:], buf, nil
+}
+
+// Answer is a searcher's word on one part.
+type Answer struct {
+	ID    string
+	End   brain.Outcome
+	Score float64
+	Value string
+}
+
+var ends = map[string]brain.Outcome{"200": brain.Pass, "500": brain.Fault, "503": brain.NoRoom}
+
+var errAnswer = errors.New("unreadable answer")
+
+// ReadAnswer decodes the rest of an answer's frame.
+func ReadAnswer(rest []byte) (Answer, error) {
+	line, value, ok := bytes.Cut(rest, []byte{'\n'})
+	f := bytes.SplitN(line, []byte{' '}, 4)
+	if !ok || len(f) < 4 || len(f[0]) == 0 {
+		return Answer{}, errAnswer
+	}
+	end, ok := ends[string(f[1])]
+	if !ok {
+		return Answer{}, errAnswer
+	}
+	a := Answer{ID: string(f[0]), End: end, Value: string(value)}
+	if string(f[2]) != "-" {
+		var err error
+		if a.Score, err = strconv.ParseFloat(string(f[2]), 64); err != nil || a.Score != a.Score {
+			return Answer{}, errAnswer
+		}
+	}
+	return a, nil
+}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"strconv"
 	"time"
 
 	"peathollow/brain"
+	"peathollow/internal/config"
 )
 
 type entry struct {
@@ -215,13 +215,19 @@
 	if err != nil {
 		return errNumber
 	}
-	in := &inst{h: h, name: string(f[1]), base: h.now, srv: map[string]int{}}
-	set, err := in.settings(seed, f[3:])
+	kv := map[string]string{}
+	for _, p := range f[3:] {
+		if k, v, ok := bytes.Cut(p, []byte("=")); ok {
+			kv[string(k)] = string(v)
+		}
+	}
+	set, err := config.Read(kv, seed)
 	if err != nil {
 		return err
 	}
+	in := &inst{h: h, name: string(f[1]), base: h.now, srv: map[string]int{}, types: set.Types, tenants: set.Tenants}
 	h.insts[in.name] = in
-	in.m = brain.New(set, in, 0)
+	in.m = brain.New(set.Brain, in, 0)
 	return nil
 }
 
@@ -285,7 +291,7 @@
 			}
 			started := brain.LongAgo
 			if e.dated {
-				started = span(e.started) - in.base
+				started = config.Span(e.started) - in.base
 			}
 			in.m.ListEntry(i, e.state, e.weight, started, e.cell)
 		}
@@ -324,11 +330,8 @@
 }
 
 func number(b []byte, absent float64) (float64, error) {
-	if len(b) == 1 && b[0] == '-' {
-		return absent, nil
-	}
-	x, err := strconv.ParseFloat(string(b), 64)
-	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+	x, err := config.Number(string(b), absent)
+	if err != nil {
 		return 0, errNumber
 	}
 	return x, nil
@@ -336,12 +339,7 @@
 
 func ms(b []byte) (time.Duration, error) {
 	x, err := number(b, 0)
-	return span(x), err
-}
-
-// span counts whole microseconds, as the wire's clock does.
-func span(ms float64) time.Duration {
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+	return config.Span(x), err
 }
 
 func (h *host) word(verb, who string) *bytes.Buffer {
--- /dev/null
+++ b/mixer/book.go
@@ -0,0 +1,127 @@
+package mixer
+
+import (
+	"time"
+
+	"peathollow/brain"
+	"peathollow/internal/proto"
+)
+
+// The last stage: what is held, and how it ends.
+
+type book struct {
+	scans  map[uint64]*scan
+	byReq  map[string]*scan
+	parts  map[uint64]*part
+	byWire map[string]*part
+	lastID uint64
+	lastNo uint64
+	open   int // scans and their parts
+}
+
+func newBook() book {
+	return book{scans: map[uint64]*scan{}, byReq: map[string]*scan{}, parts: map[uint64]*part{}, byWire: map[string]*part{}}
+}
+
+type scan struct {
+	id, no uint64
+	q      proto.Query
+	class  int
+	step   int
+	parts  []*part // of the present step
+	from   []int   // shards that were in at the first step's end
+	whole  bool    // the first step's answer was
+	held   int     // what it adds to the open count
+	reply  chan answer
+}
+
+type part struct {
+	id    uint64
+	scan  *scan
+	shard int
+	wire  string
+	tries []try
+	live  int
+	in    bool
+	over  bool
+	value string
+	score float64
+}
+
+type try struct {
+	lane  *lane // nil till it is sent
+	seq   uint64
+	at    time.Duration
+	until time.Duration
+	out   bool
+	alone bool          // its frame carries nothing else
+	end   brain.Outcome // how it ends once the frame that gives it up is written
+}
+
+func (b *book) id() uint64 {
+	b.lastID++
+	return b.lastID
+}
+
+func (b *book) addScan(s *scan) {
+	b.lastNo++
+	s.id, s.no = b.id(), b.lastNo
+	b.scans[s.id], b.byReq[s.q.ID] = s, s
+	b.hold(s, 1)
+}
+
+func (b *book) hold(s *scan, n int) {
+	s.held += n
+	b.open += n
+}
+
+func (b *book) addPart(s *scan, shard int, wire string) *part {
+	p := &part{id: b.id(), scan: s, shard: shard, wire: wire}
+	s.parts = append(s.parts, p)
+	b.parts[p.id], b.byWire[wire] = p, p
+	b.hold(s, 1)
+	return p
+}
+
+// closeStep lets go of a step's parts; those with a dispatch out are kept until it is back.
+func (b *book) closeStep(s *scan) {
+	for _, p := range s.parts {
+		p.over = true
+		b.forget(p)
+	}
+	s.parts = nil
+}
+
+func (b *book) forget(p *part) {
+	if p.over && p.live == 0 {
+		delete(b.parts, p.id)
+		delete(b.byWire, p.wire)
+	}
+}
+
+// end books the one final answer of a scan.
+func (b *book) end(s *scan, a answer) {
+	delete(b.scans, s.id)
+	delete(b.byReq, s.q.ID)
+	b.open -= s.held
+	b.closeStep(s)
+	s.reply <- a
+}
+
+// returned books how a dispatch ended and tells the module.
+func (o *owner) returned(p *part, no int, end brain.Outcome) {
+	t := &p.tries[no]
+	if !t.out {
+		return
+	}
+	t.out = false
+	p.live--
+	if l := t.lane; l != nil {
+		l.drop(p, no)
+		if l.used = o.now; len(l.out) == 0 && l.retired {
+			l.conn.Close()
+		}
+	}
+	o.m.Returned(p.id, no, end, o.now-t.at)
+	o.book.forget(p)
+}
--- /dev/null
+++ b/mixer/mixer.go
@@ -0,0 +1,144 @@
+// Package mixer is the service on sockets: it takes scans over HTTP, has the module of package brain decide, and
+// speaks frames with searchers. Others embed it by New and Run.
+package mixer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peathollow/brain"
+	"peathollow/internal/config"
+	"peathollow/internal/discovery"
+	"peathollow/internal/proto"
+)
+
+// Config is what a mixer is told at its start.
+type Config = config.Config
+
+// Load reads a configuration as the platform hands it over.
+func Load(env func(string) string, read func(string) ([]byte, error)) (Config, error) {
+	return config.Load(env, read)
+}
+
+// Mixer is one service.
+type Mixer struct {
+	cfg      Config
+	lim      Limits
+	log      *zap.Logger
+	ready    atomic.Bool
+	stopping atomic.Bool
+}
+
+// New makes a mixer; nothing is opened before Run.
+func New(c Config, log *zap.Logger) (*Mixer, error) {
+	if len(c.Settings.Types) == 0 {
+		return nil, errors.New("configuration without table types")
+	}
+	return &Mixer{cfg: c, lim: newLimits(c), log: log}, nil
+}
+
+// Confine sets the process's own bounds from the limits; a program that embeds a mixer may set its own.
+func (m *Mixer) Confine() {
+	runtime.GOMAXPROCS(m.lim.Processors)
+	debug.SetMemoryLimit(m.lim.Memory)
+}
+
+// Run serves until the context ends, then answers all that was taken and returns.
+func (m *Mixer) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", m.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	links, closeLinks := context.WithCancel(context.Background())
+	defer closeLinks()
+	var watch *discovery.Watcher
+	o := newOwner(links, &m.cfg, m.lim, m.log, func() { watch.Ask() })
+	first := make(chan struct{})
+	var once sync.Once
+	watch = discovery.New(m.cfg.Discovery, m.lim.Discovery, func(mode brain.ListMode, l proto.List) {
+		o.post(func() { o.list(mode, l) })
+		if mode != brain.Failed {
+			o.post(func() { once.Do(func() { close(first) }) })
+		}
+	})
+	o.list(brain.Remembered, m.cfg.Known)
+	o.sweep()
+
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() { o.run(done) })
+	all.Go(func() { watch.Run(links) })
+	defer all.Wait()
+	defer close(done)
+	defer closeLinks()
+
+	t := &takeIn{o: o, lim: &m.lim, stopping: m.stopping.Load}
+	gate := newGate(ln, m.lim.Clients)
+	srv := &http.Server{Handler: m.routes(t.front(m.log)), ConnState: gate.state, ReadTimeout: m.lim.ClientRead,
+		WriteTimeout: m.lim.ClientWrite, IdleTimeout: m.lim.ClientIdle, ErrorLog: zap.NewStdLog(m.log)}
+	failed := make(chan error, 1)
+	all.Go(func() { failed <- srv.Serve(gate) })
+	all.Go(func() { m.whenReady(links, first) })
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	return m.finish(srv, gate, o)
+}
+
+// whenReady waits for discovery's first list; one known from before will do if that does not come.
+func (m *Mixer) whenReady(ctx context.Context, first <-chan struct{}) {
+	var wait <-chan time.Time
+	if len(m.cfg.Known.Hosts) > 0 {
+		t := time.NewTimer(m.lim.ReadyWait)
+		defer t.Stop()
+		wait = t.C
+	}
+	select {
+	case <-first:
+	case <-wait:
+	case <-ctx.Done():
+		return
+	}
+	m.ready.Store(true)
+	m.log.Info("ready", zap.String("name", m.cfg.Name), zap.String("listen", m.cfg.Listen))
+}
+
+func (m *Mixer) routes(front http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet || r.URL.Path != "/ready" {
+			front.ServeHTTP(w, r)
+			return
+		}
+		if !m.ready.Load() || m.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// finish answers what still comes for a while, then what is in hand, and leaves.
+func (m *Mixer) finish(srv *http.Server, gate *gate, o *owner) error {
+	m.stopping.Store(true)
+	m.log.Info("stopping")
+	o.post(func() { o.stop(m.lim.StopFinish) })
+	time.Sleep(m.lim.StopAccept)
+	ctx, cancel := context.WithTimeout(context.Background(), m.lim.StopFinish-m.lim.StopAccept+m.lim.Slack)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		srv.Close()
+		return fmt.Errorf("stop: %w", err)
+	}
+	m.log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/mixer/send.go
@@ -0,0 +1,117 @@
+package mixer
+
+import (
+	"slices"
+	"time"
+
+	"peathollow/brain"
+	"peathollow/internal/proto"
+)
+
+// The fourth stage: dispatches leave as frames, and are given up.
+
+type sending struct {
+	srv int
+	p   *part
+	no  int
+}
+
+// Dispatch is an action of the module; the frame leaves when the batch is done, with all that share its call.
+func (o *owner) Dispatch(id uint64, srv int, until time.Duration) {
+	p := o.book.parts[id]
+	if p == nil {
+		return
+	}
+	p.tries = append(p.tries, try{at: o.now, until: until, out: true, end: brain.Stale})
+	p.live++
+	o.out = append(o.out, sending{srv, p, len(p.tries) - 1})
+}
+
+func (o *owner) flush() {
+	for len(o.out) > 0 {
+		srv := o.out[0].srv
+		var call []sending
+		o.out = slices.DeleteFunc(o.out, func(s sending) bool {
+			if s.srv != srv || len(call) >= max(1, o.set.Brain.PartsPerCall) {
+				return false
+			}
+			call = append(call, s)
+			return true
+		})
+		o.send(srv, slices.DeleteFunc(call, func(s sending) bool { return !s.p.tries[s.no].out }))
+	}
+}
+
+func (o *owner) send(srv int, call []sending) {
+	if len(call) == 0 {
+		return
+	}
+	l := o.lane(o.fleet.srvs[srv], len(call))
+	calls := make([]proto.Call, len(call))
+	for i, c := range call {
+		q := &c.p.scan.q
+		calls[i] = proto.Call{ID: c.p.wire, Shard: c.p.shard, Wait: c.p.tries[c.no].until - o.now, Text: q.Text}
+		if o.set.Brain.Types[c.p.scan.class].Effect == brain.Keyed {
+			calls[i].Key = q.Key
+		}
+		if c.p.scan.step > 0 {
+			calls[i].From, calls[i].Whole = c.p.scan.from, c.p.scan.whole
+		}
+	}
+	var seq uint64
+	ok := false
+	if l != nil {
+		seq, ok = l.conn.Send(proto.AppendCalls(nil, calls...), false)
+	}
+	for _, c := range call {
+		if !ok { // no connection may be had, or this one takes no more: it never left
+			o.later = append(o.later, func() { o.returned(c.p, c.no, brain.NoRoute) })
+			continue
+		}
+		t := &c.p.tries[c.no]
+		t.lane, t.seq, t.alone = l, seq, len(call) == 1
+		l.out[c.p], l.used = c.no, o.now
+		o.timers.add(t.until, func() { o.giveUp(c.p, c.no, brain.TooSlow) })
+	}
+}
+
+// Cancel is an action of the module.
+func (o *owner) Cancel(id uint64, no int) {
+	if p := o.book.parts[id]; p != nil && no < len(p.tries) {
+		o.giveUp(p, no, brain.Undone)
+	}
+}
+
+// giveUp stops waiting for a dispatch. Its end is told only once the searcher has been told: what goes out
+// elsewhere before that would be a second copy.
+func (o *owner) giveUp(p *part, no int, end brain.Outcome) {
+	t := &p.tries[no]
+	if !t.out || t.end != brain.Stale {
+		return
+	}
+	t.end = end
+	switch {
+	case t.lane == nil || t.alone && t.lane.conn.Recall(t.seq):
+		o.later = append(o.later, func() { o.returned(p, no, brain.Stale) })
+	case !o.set.MayCancel:
+		o.later = append(o.later, func() { o.returned(p, no, end) })
+	default:
+		if seq, ok := t.lane.conn.Send(proto.AppendGiveUp(nil, p.wire), true); ok {
+			t.lane.kills[seq] = p
+		} else {
+			t.lane.conn.Close()
+		}
+	}
+}
+
+// givenUp follows when the frame that gives a part up is written.
+func (o *owner) givenUp(l *lane, seq uint64) {
+	p := l.kills[seq]
+	delete(l.kills, seq)
+	if p == nil {
+		return
+	}
+	if no, ok := l.out[p]; ok {
+		o.returned(p, no, p.tries[no].end)
+	}
+}
--- /dev/null
+++ b/mixer/takein.go
@@ -0,0 +1,141 @@
+package mixer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peathollow/internal/proto"
+)
+
+// The first stage: a request is read whole, handed over as a scan, and its one final answer awaited.
+
+type kind uint8
+
+const (
+	completed kind = iota
+	throttled
+	abandoned
+	unfit // the request itself is at fault
+)
+
+// answer is a scan's final one.
+type answer struct {
+	kind  kind
+	body  []byte
+	after time.Duration // when to come back
+	fault error
+}
+
+// takeIn is the transport behind the reverse proxy.
+type takeIn struct {
+	o        *owner
+	lim      *Limits
+	stopping func() bool
+}
+
+// front is the handler of all that is not /ready.
+func (t *takeIn) front(log *zap.Logger) http.Handler {
+	return &httputil.ReverseProxy{
+		Rewrite: func(r *httputil.ProxyRequest) {
+			r.Out.URL.Scheme, r.Out.URL.Host = "http", "searchers"
+		},
+		Transport: t,
+		// Hop-by-hop headers are gone by now, so this one is set where it stays.
+		ModifyResponse: func(res *http.Response) error {
+			if t.stopping() {
+				res.Header.Set("Connection", "close")
+			}
+			return nil
+		},
+		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
+			if r.Context().Err() == nil {
+				log.Warn("request not answered", zap.Error(err))
+			}
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadGateway)
+		},
+	}
+}
+
+func (t *takeIn) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method != http.MethodPost {
+		return plain(r, http.StatusMethodNotAllowed, "only POST is taken"), nil
+	}
+	var body []byte
+	var err error
+	if r.Body != nil {
+		body, err = io.ReadAll(io.LimitReader(r.Body, int64(t.lim.Body)+1))
+		r.Body.Close()
+	}
+	at := time.Now()
+	if err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	if len(body) > t.lim.Body {
+		return plain(r, http.StatusRequestEntityTooLarge, fmt.Sprintf("body: more than %d bytes", t.lim.Body)), nil
+	}
+	q, err := proto.ReadQuery(r, body)
+	if err != nil {
+		return plain(r, http.StatusBadRequest, err.Error()), nil
+	}
+	a, err := t.await(r.Context(), q, at)
+	if err != nil {
+		return nil, err
+	}
+	switch a.kind {
+	case completed:
+		res := reply(r, http.StatusOK, a.body)
+		res.Header.Set("Content-Type", "application/json")
+		return res, nil
+	case throttled:
+		res := plain(r, http.StatusServiceUnavailable, "throttled")
+		if a.after > 0 {
+			res.Header.Set("Retry-After", strconv.FormatFloat(a.after.Seconds(), 'f', 3, 64))
+		}
+		return res, nil
+	case unfit:
+		return plain(r, http.StatusBadRequest, a.fault.Error()), nil
+	}
+	return plain(r, http.StatusInternalServerError, "abandoned"), nil
+}
+
+// await hands the scan over and waits for its answer, or for the client to leave.
+func (t *takeIn) await(ctx context.Context, q proto.Query, at time.Time) (answer, error) {
+	s := &scan{q: q, reply: make(chan answer, 1)}
+	if !t.o.post(func() { t.o.admit(s, at) }) {
+		return answer{kind: abandoned}, nil
+	}
+	// The module answers in time; this guards against a mixer that is itself held up.
+	late := time.NewTimer(time.Until(at.Add(max(0, q.Wait) + t.lim.Slack)))
+	defer late.Stop()
+	select {
+	case a := <-s.reply:
+		return a, nil
+	case <-ctx.Done():
+		t.o.post(func() { t.o.left(s) })
+		return answer{}, ctx.Err()
+	case <-late.C:
+		t.o.post(func() { t.o.left(s) })
+		return answer{kind: abandoned}, nil
+	}
+}
+
+func plain(r *http.Request, status int, text string) *http.Response {
+	res := reply(r, status, append([]byte(text), '\n'))
+	res.Header.Set("Content-Type", "text/plain; charset=utf-8")
+	return res
+}
+
+func reply(r *http.Request, status int, body []byte) *http.Response {
+	return &http.Response{StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: r,
+		Header: http.Header{"Content-Length": {strconv.Itoa(len(body))}}, ContentLength: int64(len(body)),
+		Body: io.NopCloser(bytes.NewReader(body))}
+}
