--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -87,7 +87,12 @@
 	}
 }
 
-func (w *Watcher) next(ctx context.Context, whole bool) (proto.List, error) {
+func (w *Watcher) next(ctx context.Context, whole bool) (l proto.List, err error) {
+	defer func() {
+		if e := recover(); e != nil {
+			err = fmt.Errorf("discovery: panic: %v", e)
+		}
+	}()
 	url, limit := "http://"+w.addr+"/v1/endpoints", w.lim.Call
 	if !whole {
 		url += fmt.Sprintf("?after=%d&wait_ms=%d", w.at, w.lim.Wait.Milliseconds())
@@ -113,8 +118,7 @@
 	case int64(len(body)) > w.lim.Body:
 		return proto.List{}, fmt.Errorf("discovery: more than %d bytes", w.lim.Body)
 	}
-	l, err := proto.ReadList(body)
-	if err != nil {
+	if l, err = proto.ReadList(body); err != nil {
 		return l, fmt.Errorf("discovery: %w", err)
 	}
 	if !whole && l.Version < w.at {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,14 +26,16 @@
 // Events are told from the connection's own goroutines. Closed comes once, after all else.
 type Events interface {
 	Answered(c *Conn, a proto.Answer)
-	Written(c *Conn, seq uint64) // only of frames sent with tell
+	Told(c *Conn, seq uint64) // a frame that gives up a part was written
 	Closed(c *Conn, why error)
 }
 
+// frame is encoded only when it is written: till then parts may be taken out of it, and time passes.
 type frame struct {
-	seq  uint64
-	body []byte
-	tell bool
+	seq   uint64
+	calls []proto.Call
+	stop  string // the id of a part that is given up, in place of calls
+	end   int    // where it ends among the bytes being written
 }
 
 // Conn is one connection, perhaps still coming up.
@@ -64,15 +67,21 @@
 	return c
 }
 
-// Send queues a frame and gives its number; false if the connection takes no more.
-func (c *Conn) Send(body []byte, tell bool) (uint64, bool) {
+// Send queues one call and gives its frame's number; false if the connection takes no more.
+func (c *Conn) Send(calls []proto.Call) (uint64, bool) { return c.put(frame{calls: calls}) }
+
+// GiveUp queues word that a part is given up; Told follows.
+func (c *Conn) GiveUp(id string) (uint64, bool) { return c.put(frame{stop: id}) }
+
+func (c *Conn) put(f frame) (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.shut || len(c.queue) >= c.lim.Queue {
 		return 0, false
 	}
 	c.last++
-	c.queue = append(c.queue, frame{c.last, body, tell})
+	f.seq = c.last
+	c.queue = append(c.queue, f)
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -80,15 +89,20 @@
 	return c.last, true
 }
 
-// Recall takes back a frame of which nothing was written yet.
-func (c *Conn) Recall(seq uint64) bool {
+// Recall takes a part back out of a frame that has not begun to be written: it never ran, and never will.
+func (c *Conn) Recall(seq uint64, id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range c.queue {
-		if c.queue[i].seq == seq {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			return true
+		f := &c.queue[i]
+		if f.seq != seq {
+			continue
 		}
+		f.calls = slices.DeleteFunc(f.calls, func(k proto.Call) bool { return k.ID == id })
+		if len(f.calls) == 0 {
+			c.queue = slices.Delete(c.queue, i, i+1)
+		}
+		return true
 	}
 	return false
 }
@@ -104,7 +118,7 @@
 func (c *Conn) Close() { c.stop(errShut) }
 
 func (c *Conn) run(ctx context.Context) {
-	err := c.serve(ctx)
+	err := guard(func() error { return c.serve(ctx) })
 	c.mu.Lock()
 	c.shut = true
 	c.mu.Unlock()
@@ -115,6 +129,16 @@
 	c.ev.Closed(c, err)
 }
 
+// guard makes a panic the end of this connection alone.
+func guard(f func() error) (err error) {
+	defer func() {
+		if e := recover(); e != nil {
+			err = fmt.Errorf("panic: %v", e)
+		}
+	}()
+	return f()
+}
+
 func (c *Conn) serve(ctx context.Context) error {
 	d := net.Dialer{Timeout: c.lim.Connect, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", c.Addr)
@@ -126,11 +150,11 @@
 	defer nc.Close()
 	read := make(chan error, 1)
 	go func() {
-		err := c.read(nc)
+		err := guard(func() error { return c.read(nc) })
 		c.stop(err)
 		read <- err
 	}()
-	err = c.write(ctx, nc)
+	err = guard(func() error { return c.write(ctx, nc) })
 	c.stop(err)
 	nc.Close()
 	// What the searcher said before the end still counts, and comes before Closed.
@@ -156,22 +180,28 @@
 			}
 		}
 		buf = buf[:0]
+		now := time.Now()
 		for i := range batch {
-			buf = append(buf, batch[i].body...)
+			if f := &batch[i]; f.stop != "" {
+				buf = proto.AppendGiveUp(buf, f.stop)
+			} else {
+				buf = proto.AppendCalls(buf, now, f.calls...)
+			}
+			batch[i].end = len(buf)
 		}
-		if err := nc.SetWriteDeadline(time.Now().Add(c.lim.Write)); err != nil {
+		if err := nc.SetWriteDeadline(now.Add(c.lim.Write)); err != nil {
 			return err
 		}
 		n, err := nc.Write(buf)
 		for i := range batch {
-			if n -= len(batch[i].body); n < 0 {
+			if n < batch[i].end {
 				break
 			}
 			c.mu.Lock()
 			c.written = batch[i].seq
 			c.mu.Unlock()
-			if batch[i].tell {
-				c.ev.Written(c, batch[i].seq)
+			if batch[i].stop != "" {
+				c.ev.Told(c, batch[i].seq)
 			}
 		}
 		if err != nil {
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -26,22 +26,22 @@
 type Call struct {
 	ID    string
 	Shard int
-	Wait  time.Duration
+	Until time.Time // how long the mixer waits
 	Key   string
 	From  []int // for a second step: the shards that were in
 	Whole bool  // and whether the first step's answer was
 	Text  string
 }
 
-// AppendCalls writes one frame that carries the parts of one call.
-func AppendCalls(b []byte, calls ...Call) []byte {
+// AppendCalls writes one frame that carries the parts of one call, leaving at that time.
+func AppendCalls(b []byte, now time.Time, calls ...Call) []byte {
 	at := len(b)
 	b = append(b, 0, 0, 0, 0, LetterCall)
 	for i := range calls {
 		c := &calls[i]
 		b = append(append(b, c.ID...), ' ')
 		b = append(strconv.AppendInt(b, int64(c.Shard), 10), " d="...)
-		b = strconv.AppendInt(b, max(1, c.Wait.Milliseconds()), 10)
+		b = strconv.AppendInt(b, max(1, c.Until.Sub(now).Milliseconds()), 10)
 		if c.Key != "" {
 			b = append(append(b, ",k="...), c.Key...)
 		}
--- a/mixer/admit.go
+++ b/mixer/admit.go
@@ -68,7 +68,7 @@
 func (o *owner) left(s *scan) {
 	if o.book.scans[s.id] == s {
 		o.m.Left(s.id)
-		o.book.end(s, answer{kind: abandoned})
+		o.end(s, answer{kind: abandoned})
 	}
 }
 
--- a/mixer/book.go
+++ b/mixer/book.go
@@ -54,7 +54,6 @@
 	at    time.Duration
 	until time.Duration
 	out   bool
-	alone bool          // its frame carries nothing else
 	end   brain.Outcome // how it ends once the frame that gives it up is written
 }
 
@@ -84,10 +83,11 @@
 }
 
 // closeStep lets go of a step's parts; those with a dispatch out are kept until it is back.
-func (b *book) closeStep(s *scan) {
+func (o *owner) closeStep(s *scan) {
 	for _, p := range s.parts {
 		p.over = true
-		b.forget(p)
+		o.recall(p)
+		o.book.forget(p)
 	}
 	s.parts = nil
 }
@@ -100,11 +100,11 @@
 }
 
 // end books the one final answer of a scan.
-func (b *book) end(s *scan, a answer) {
-	delete(b.scans, s.id)
-	delete(b.byReq, s.q.ID)
-	b.open -= s.held
-	b.closeStep(s)
+func (o *owner) end(s *scan, a answer) {
+	delete(o.book.scans, s.id)
+	delete(o.book.byReq, s.q.ID)
+	o.book.open -= s.held
+	o.closeStep(s)
 	s.reply <- a
 }
 
--- a/mixer/gate.go
+++ b/mixer/gate.go
@@ -7,36 +7,56 @@
 	"sync"
 )
 
-// gate keeps client connections within their share of the descriptors: one more than that costs the one that has
-// been idle longest, whose client opens another. Busy ones are never closed.
+// gate keeps client connections within their share of the descriptors. One more than that costs the one that has
+// been idle longest, whose client opens another; while all are busy the next waits unaccepted.
 type gate struct {
 	net.Listener
 	most int
 
 	mu   sync.Mutex
+	room sync.Cond
 	n    int
 	idle []net.Conn // longest idle first
+	shut bool
 }
 
-func newGate(ln net.Listener, most int) *gate { return &gate{Listener: ln, most: most} }
+func newGate(ln net.Listener, most int) *gate {
+	g := &gate{Listener: ln, most: most}
+	g.room.L = &g.mu
+	return g
+}
 
 func (g *gate) Accept() (net.Conn, error) {
+	g.mu.Lock()
+	for g.n >= g.most && !g.shut {
+		if len(g.idle) == 0 {
+			g.room.Wait()
+			continue
+		}
+		old := g.idle[0]
+		g.idle = g.idle[1:]
+		old.Close()
+		g.room.Wait()
+	}
+	g.mu.Unlock()
 	c, err := g.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	var old net.Conn
 	g.mu.Lock()
-	if g.n++; g.n > g.most && len(g.idle) > 0 {
-		old, g.idle = g.idle[0], g.idle[1:]
-	}
+	g.n++
 	g.mu.Unlock()
-	if old != nil {
-		old.Close()
-	}
 	return c, nil
 }
 
+func (g *gate) Close() error {
+	g.mu.Lock()
+	g.shut = true
+	g.room.Broadcast()
+	g.mu.Unlock()
+	return g.Listener.Close()
+}
+
 func (g *gate) state(c net.Conn, s http.ConnState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -47,4 +67,5 @@
 	case http.StateClosed, http.StateHijacked:
 		g.n--
 	}
+	g.room.Broadcast()
 }
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -12,29 +12,29 @@
 // Limits are all sizes, counts and times that bound a mixer on sockets. They are filled at start from what the
 // mixer is told and handed down; none of them chooses what becomes of a scan.
 type Limits struct {
-	Body         int // bytes of a request's body
-	Clients      int // client connections; idle ones are closed to stay within
-	Lanes        int // connections to all searchers together
-	PerSearcher  int // connections to one searcher, unless its parts need no more
-	Parts        int // parts that one connection carries at once
-	Open         int // scans and parts held
-	Events       int // events on their way to the module's goroutine
-	Batch        int // events that share one clock reading
-	Processors   int
-	Memory       int64
-	Round        time.Duration
-	ClientRead   time.Duration // for a request to come in whole
-	ClientWrite  time.Duration // for an answer to be taken
-	ClientIdle   time.Duration
-	LaneIdle     time.Duration // ahead of the time after which a searcher closes
-	Slack        time.Duration // past a scan's time, in which an answer still counts
-	StopAccept   time.Duration // after SIGTERM: how long new connections keep coming
-	StopFinish   time.Duration // after SIGTERM: by when all must be answered
-	ReadyWait    time.Duration // for discovery's first word, when a list is known
-	Link         link.Limits
-	Discovery    discovery.Limits
-	LogFirst     int // log lines of a kind and second, then every LogThereafter-th
-	LogThereafer int
+	Body          int // bytes of a request's body
+	Clients       int // client connections; idle ones are closed to stay within
+	Lanes         int // connections to all searchers together
+	PerSearcher   int // connections to one searcher
+	Parts         int // parts that one connection carries at once
+	Open          int // scans and parts held
+	Events        int // events on their way to the module's goroutine
+	Batch         int // events that share one clock reading
+	Processors    int
+	Memory        int64
+	Round         time.Duration
+	ClientRead    time.Duration // for a request to come in whole
+	ClientWrite   time.Duration // for an answer to be taken
+	ClientIdle    time.Duration
+	LaneIdle      time.Duration // ahead of the time after which a searcher closes
+	Slack         time.Duration // past a scan's time, in which an answer still counts
+	StopAccept    time.Duration // after SIGTERM: how long new connections keep coming
+	StopFinish    time.Duration // after SIGTERM: by when all must be answered
+	ReadyWait     time.Duration // for discovery's first word, when a list is known
+	Link          link.Limits
+	Discovery     discovery.Limits
+	LogFirst      int // log lines of a kind and second, then every LogThereafter-th
+	LogThereafter int
 }
 
 // Descriptors that are neither clients nor searchers: standard ones, listener, poller, discovery, spare.
@@ -56,7 +56,7 @@
 	sockets := c.Sockets - otherSockets
 	return Limits{
 		Body: 64 << 10, Clients: sockets / 2, Lanes: sockets / 2,
-		PerSearcher: 8, Parts: set.Streams, Open: set.OpenMost,
+		PerSearcher: (set.OpenMost + set.Streams - 1) / set.Streams, Parts: set.Streams, Open: set.OpenMost,
 		Events: 1024, Batch: 256,
 		Processors: int(math.Ceil(c.Cores)), Memory: int64(c.MemoryMB) << 20 / 4 * 3,
 		Round:      set.Brain.Round,
@@ -64,9 +64,9 @@
 		LaneIdle: set.Idle / 5 * 4, Slack: set.Slack,
 		StopAccept: 500 * time.Millisecond, StopFinish: min(longest, killCut) + killExtra - stopSpare,
 		ReadyWait: 500 * time.Millisecond,
-		Link:      link.Limits{Frame: 1 << 20, Queue: 1024, Connect: set.Connect, Write: set.Connect},
+		Link:      link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect},
 		Discovery: discovery.Limits{Body: 8 << 20, Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
 			Pause: time.Second},
-		LogFirst: 5, LogThereafer: 100,
+		LogFirst: 5, LogThereafter: 100,
 	}
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"peathollow/brain"
 	"peathollow/internal/config"
@@ -44,7 +45,12 @@
 	if len(c.Settings.Types) == 0 {
 		return nil, errors.New("configuration without table types")
 	}
-	return &Mixer{cfg: c, lim: newLimits(c), log: log}, nil
+	lim := newLimits(c)
+	// A searcher that is down for long would say so at every dispatch, and the log counts as memory.
+	log = log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, lim.LogFirst, lim.LogThereafter)
+	}))
+	return &Mixer{cfg: c, lim: lim, log: log}, nil
 }
 
 // Confine sets the process's own bounds from the limits; a program that embeds a mixer may set its own.
@@ -82,9 +88,9 @@
 	defer close(done)
 	defer closeLinks()
 
-	t := &takeIn{o: o, lim: &m.lim, stopping: m.stopping.Load}
+	t := &takeIn{o: o, lim: &m.lim, log: m.log, stopping: m.stopping.Load}
 	gate := newGate(ln, m.lim.Clients)
-	srv := &http.Server{Handler: m.routes(t.front(m.log)), ConnState: gate.state, ReadTimeout: m.lim.ClientRead,
+	srv := &http.Server{Handler: m.routes(t.front()), ConnState: gate.state, ReadTimeout: m.lim.ClientRead,
 		WriteTimeout: m.lim.ClientWrite, IdleTimeout: m.lim.ClientIdle, ErrorLog: zap.NewStdLog(m.log)}
 	failed := make(chan error, 1)
 	all.Go(func() { failed <- srv.Serve(gate) })
@@ -136,8 +142,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), m.lim.StopFinish-m.lim.StopAccept+m.lim.Slack)
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
-		srv.Close()
-		return fmt.Errorf("stop: %w", err)
+		// By now every scan is answered: what is left are connections that never sent a whole request.
+		m.log.Warn("clients cut off", zap.Error(err))
+		return srv.Close()
 	}
 	m.log.Info("stopped")
 	return nil
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -26,16 +26,14 @@
 	m     *brain.Mixer
 	ask   func()
 
-	events  chan func()
-	gone    chan struct{} // closed when the owner has ended
-	later   []func()      // results known at once; they wait for the next batch, as if they came from outside
-	timers  timers
-	book    book
-	fleet   fleet
-	out     []sending // what the module sent in this batch
-	stopAt  time.Duration
-	conns   int
-	crashes int
+	events chan func()
+	gone   chan struct{} // closed when the owner has ended
+	later  []func()      // results known at once; they wait for the next batch, as if they came from outside
+	timers timers
+	book   book
+	fleet  fleet
+	out    []sending // what the module sent in this batch
+	stopAt time.Duration
 }
 
 func newOwner(ctx context.Context, c *config.Config, lim Limits, log *zap.Logger, ask func()) *owner {
@@ -108,7 +106,6 @@
 		if e == nil {
 			return
 		}
-		o.crashes++
 		o.log.Error("panic in a step", zap.Any("panic", e), zap.ByteString("stack", debug.Stack()))
 		o.restart()
 	}()
@@ -120,9 +117,13 @@
 	for _, s := range o.book.scans {
 		s.reply <- answer{kind: abandoned}
 	}
+	last := o.book.lastID // old ids may still be heard of
 	o.book = newBook()
+	o.book.lastID = last
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
+			clear(l.out)
+			l.retired = true
 			l.conn.Close()
 		}
 	}
@@ -130,6 +131,9 @@
 	o.m.At(o.now)
 	o.relist()
 	o.sweep()
+	if o.stopAt > 0 {
+		o.stop(o.stopAt - o.now)
+	}
 }
 
 // Wake and Subscribe are actions of the module.
@@ -143,9 +147,9 @@
 	}
 }
 
-// Answered, Written and Closed come from the connections' goroutines.
+// Answered, Told and Closed come from the connections' goroutines.
 func (l *lane) Answered(_ *link.Conn, a proto.Answer) { l.o.post(func() { l.o.answered(l, a) }) }
-func (l *lane) Written(_ *link.Conn, seq uint64)      { l.o.post(func() { l.o.givenUp(l, seq) }) }
+func (l *lane) Told(_ *link.Conn, seq uint64)         { l.o.post(func() { l.o.givenUp(l, seq) }) }
 func (l *lane) Closed(_ *link.Conn, why error)        { l.o.post(func() { l.o.closed(l, why) }) }
 
 // timers is a heap of what is due, earliest first, in the order of setting where times are equal.
--- a/mixer/relay.go
+++ b/mixer/relay.go
@@ -74,7 +74,7 @@
 	for i, p := range in {
 		rows[i] = proto.Row{Shard: p.shard, Value: p.value}
 	}
-	o.book.end(s, answer{kind: completed, body: proto.WriteAnswer(whole, rows)})
+	o.end(s, answer{kind: completed, body: proto.WriteAnswer(whole, rows)})
 }
 
 func (o *owner) secondStep(s *scan, in []*part, n int, whole bool) {
@@ -86,7 +86,7 @@
 	slices.SortFunc(in, func(a, b *part) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.shard, b.shard))
 	})
-	o.book.closeStep(s)
+	o.closeStep(s)
 	o.later = append(o.later, func() {
 		if o.book.scans[s.id] != s {
 			return
@@ -101,13 +101,13 @@
 // Throttle is an action of the module: asking again is harmless.
 func (o *owner) Throttle(id uint64, in time.Duration) {
 	if s := o.book.scans[id]; s != nil {
-		o.book.end(s, answer{kind: throttled, after: in})
+		o.end(s, answer{kind: throttled, after: in})
 	}
 }
 
 // Abandon is an action of the module: nothing is promised.
 func (o *owner) Abandon(id uint64) {
 	if s := o.book.scans[id]; s != nil {
-		o.book.end(s, answer{kind: abandoned})
+		o.end(s, answer{kind: abandoned})
 	}
 }
--- a/mixer/route.go
+++ b/mixer/route.go
@@ -93,20 +93,24 @@
 	o.m.ListEnd(brain.Remembered)
 }
 
-// lane finds a connection with room, or opens one; nil where the limits allow none.
+// lane finds a connection with room, or opens one. Where the limits allow no further one, parts wait on the one
+// with the fewest; nil only if the searcher has none.
 func (o *owner) lane(s *searcher, parts int) *lane {
+	var least *lane
 	live := 0
 	for _, l := range s.lanes {
 		if l.retired {
 			continue
 		}
-		live++
 		if len(l.out)+parts <= o.lim.Parts {
 			return l
 		}
+		if live++; least == nil || len(l.out) < len(least.out) {
+			least = l
+		}
 	}
 	if live >= o.lim.PerSearcher || o.fleet.lanes >= o.lim.Lanes {
-		return nil
+		return least
 	}
 	l := &lane{o: o, s: s, out: map[*part]int{}, kills: map[uint64]*part{}, used: o.now}
 	l.conn = link.Open(o.ctx, s.host.Addr, o.lim.Link, l)
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -50,7 +50,8 @@
 	calls := make([]proto.Call, len(call))
 	for i, c := range call {
 		q := &c.p.scan.q
-		calls[i] = proto.Call{ID: c.p.wire, Shard: c.p.shard, Wait: c.p.tries[c.no].until - o.now, Text: q.Text}
+		calls[i] = proto.Call{ID: c.p.wire, Shard: c.p.shard, Text: q.Text,
+			Until: o.start.Add(c.p.tries[c.no].until)}
 		if o.set.Brain.Types[c.p.scan.class].Effect == brain.Keyed {
 			calls[i].Key = q.Key
 		}
@@ -61,7 +62,7 @@
 	var seq uint64
 	ok := false
 	if l != nil {
-		seq, ok = l.conn.Send(proto.AppendCalls(nil, calls...), false)
+		seq, ok = l.conn.Send(calls)
 	}
 	for _, c := range call {
 		if !ok { // no connection may be had, or this one takes no more: it never left
@@ -69,7 +70,7 @@
 			continue
 		}
 		t := &c.p.tries[c.no]
-		t.lane, t.seq, t.alone = l, seq, len(call) == 1
+		t.lane, t.seq = l, seq
 		l.out[c.p], l.used = c.no, o.now
 		o.timers.add(t.until, func() { o.giveUp(c.p, c.no, brain.TooSlow) })
 	}
@@ -91,12 +92,12 @@
 	}
 	t.end = end
 	switch {
-	case t.lane == nil || t.alone && t.lane.conn.Recall(t.seq):
+	case t.lane == nil || t.lane.conn.Recall(t.seq, p.wire):
 		o.later = append(o.later, func() { o.returned(p, no, brain.Stale) })
 	case !o.set.MayCancel:
 		o.later = append(o.later, func() { o.returned(p, no, end) })
 	default:
-		if seq, ok := t.lane.conn.Send(proto.AppendGiveUp(nil, p.wire), true); ok {
+		if seq, ok := t.lane.conn.GiveUp(p.wire); ok {
 			t.lane.kills[seq] = p
 		} else {
 			t.lane.conn.Close()
@@ -104,6 +105,15 @@
 	}
 }
 
+// recall takes back what has not left when a step ends: nothing of a scan goes out after its final answer.
+func (o *owner) recall(p *part) {
+	for no := range p.tries {
+		if t := &p.tries[no]; t.out && t.lane != nil && t.lane.conn.Recall(t.seq, p.wire) {
+			o.later = append(o.later, func() { o.returned(p, no, brain.Stale) })
+		}
+	}
+}
+
 // givenUp follows when the frame that gives a part up is written.
 func (o *owner) givenUp(l *lane, seq uint64) {
 	p := l.kills[seq]
--- a/mixer/takein.go
+++ b/mixer/takein.go
@@ -38,11 +38,12 @@
 type takeIn struct {
 	o        *owner
 	lim      *Limits
+	log      *zap.Logger
 	stopping func() bool
 }
 
 // front is the handler of all that is not /ready.
-func (t *takeIn) front(log *zap.Logger) http.Handler {
+func (t *takeIn) front() http.Handler {
 	return &httputil.ReverseProxy{
 		Rewrite: func(r *httputil.ProxyRequest) {
 			r.Out.URL.Scheme, r.Out.URL.Host = "http", "searchers"
@@ -57,7 +58,7 @@
 		},
 		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
 			if r.Context().Err() == nil {
-				log.Warn("request not answered", zap.Error(err))
+				t.log.Warn("request not answered", zap.Error(err))
 			}
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusBadGateway)
@@ -65,12 +66,18 @@
 	}
 }
 
-func (t *takeIn) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *takeIn) RoundTrip(r *http.Request) (res *http.Response, err error) {
+	defer func() {
+		// The server would end the connection without an answer.
+		if e := recover(); e != nil {
+			t.log.Error("panic with a request", zap.Any("panic", e))
+			res, err = plain(r, http.StatusInternalServerError, "abandoned"), nil
+		}
+	}()
 	if r.Method != http.MethodPost {
 		return plain(r, http.StatusMethodNotAllowed, "only POST is taken"), nil
 	}
 	var body []byte
-	var err error
 	if r.Body != nil {
 		body, err = io.ReadAll(io.LimitReader(r.Body, int64(t.lim.Body)+1))
 		r.Body.Close()
