--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,7 +26,7 @@
 // Events are told from the connection's own goroutines. Closed comes once, after all else.
 type Events interface {
 	Answered(c *Conn, a proto.Answer)
-	Told(c *Conn, seq uint64) // a frame that gives up a part was written
+	Told(c *Conn, seqs []uint64) // these frames, which give up a part each, were written together
 	Closed(c *Conn, why error)
 }
 
@@ -193,6 +193,7 @@
 			return err
 		}
 		n, err := nc.Write(buf)
+		var told []uint64
 		for i := range batch {
 			if n < batch[i].end {
 				break
@@ -201,9 +202,12 @@
 			c.written = batch[i].seq
 			c.mu.Unlock()
 			if batch[i].stop != "" {
-				c.ev.Told(c, batch[i].seq)
+				told = append(told, batch[i].seq)
 			}
 		}
+		if len(told) > 0 {
+			c.ev.Told(c, told)
+		}
 		if err != nil {
 			return fmt.Errorf("write: %w", err)
 		}
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -22,7 +22,7 @@
 	Batch         int // events that share one clock reading
 	Processors    int
 	Memory        int64
-	Round         time.Duration
+	Gather        time.Duration // between batches, where parts of one batch share calls
 	ClientRead    time.Duration // for a request to come in whole
 	ClientWrite   time.Duration // for an answer to be taken
 	ClientIdle    time.Duration
@@ -54,12 +54,16 @@
 		longest = max(longest, t.Timeout)
 	}
 	sockets := c.Sockets - otherSockets
+	gather := time.Duration(0)
+	if set.Brain.PartsPerCall > 1 {
+		gather = set.Brain.Round
+	}
 	return Limits{
-		Body: 64 << 10, Clients: sockets / 2, Lanes: sockets / 2,
+		Gather: gather,
+		Body:   64 << 10, Clients: sockets / 2, Lanes: sockets / 2,
 		PerSearcher: (set.OpenMost + set.Streams - 1) / set.Streams, Parts: set.Streams, Open: set.OpenMost,
 		Events: 1024, Batch: 256,
 		Processors: int(math.Ceil(c.Cores)), Memory: int64(c.MemoryMB) << 20 / 4 * 3,
-		Round:      set.Brain.Round,
 		ClientRead: longest, ClientWrite: 2 * longest, ClientIdle: 10 * time.Minute,
 		LaneIdle: set.Idle / 5 * 4, Slack: set.Slack,
 		StopAccept: 500 * time.Millisecond, StopFinish: min(longest, killCut) + killExtra - stopSpare,
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -68,6 +68,14 @@
 				return
 			}
 		}
+		if o.lim.Gather > 0 {
+			clock.Reset(max(0, o.now+o.lim.Gather-time.Since(o.start)))
+			select {
+			case <-clock.C:
+			case <-done:
+				return
+			}
+		}
 		o.batch(first)
 	}
 }
@@ -149,7 +157,7 @@
 
 // Answered, Told and Closed come from the connections' goroutines.
 func (l *lane) Answered(_ *link.Conn, a proto.Answer) { l.o.post(func() { l.o.answered(l, a) }) }
-func (l *lane) Told(_ *link.Conn, seq uint64)         { l.o.post(func() { l.o.givenUp(l, seq) }) }
+func (l *lane) Told(_ *link.Conn, seqs []uint64)      { l.o.post(func() { l.o.givenUp(l, seqs) }) }
 func (l *lane) Closed(_ *link.Conn, why error)        { l.o.post(func() { l.o.closed(l, why) }) }
 
 // timers is a heap of what is due, earliest first, in the order of setting where times are equal.
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -114,14 +114,17 @@
 	}
 }
 
-// givenUp follows when the frame that gives a part up is written.
-func (o *owner) givenUp(l *lane, seq uint64) {
-	p := l.kills[seq]
-	delete(l.kills, seq)
-	if p == nil {
-		return
-	}
-	if no, ok := l.out[p]; ok {
-		o.returned(p, no, p.tries[no].end)
+// givenUp follows when frames that give parts up are written. Those of one write share a clock reading: parts
+// called off together must read as one failure of their searcher, or it would be kept off for far too long.
+func (o *owner) givenUp(l *lane, seqs []uint64) {
+	for _, seq := range seqs {
+		p := l.kills[seq]
+		delete(l.kills, seq)
+		if p == nil {
+			continue
+		}
+		if no, ok := l.out[p]; ok {
+			o.returned(p, no, p.tries[no].end)
+		}
 	}
 }
