--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -109,7 +109,10 @@
 
 var ends = map[string]brain.Outcome{"200": brain.Pass, "500": brain.Fault, "503": brain.NoRoom}
 
-var errAnswer = errors.New("unreadable answer")
+var (
+	errAnswer = errors.New("unreadable answer")
+	errCall   = errors.New("unreadable call")
+)
 
 // ReadAnswer decodes the rest of an answer's frame.
 func ReadAnswer(rest []byte) (Answer, error) {
@@ -131,3 +134,54 @@
 	}
 	return a, nil
 }
+
+// ReadCalls decodes the rest of a call's frame, as a searcher does; times are counted from now.
+func ReadCalls(rest []byte, now time.Time) ([]Call, error) {
+	var calls []Call
+	for len(rest) > 0 {
+		line, after, ok := bytes.Cut(rest, []byte{'\n'})
+		f := bytes.Split(line, []byte{' '})
+		if !ok || len(f) != 4 {
+			return nil, errCall
+		}
+		c := Call{ID: string(f[0])}
+		n, err := strconv.Atoi(string(f[3]))
+		if c.Shard, _ = strconv.Atoi(string(f[1])); err != nil || n < 0 || n > len(after) {
+			return nil, errCall
+		}
+		for _, kv := range bytes.Split(f[2], []byte{','}) {
+			k, v, _ := bytes.Cut(kv, []byte{'='})
+			switch string(k) {
+			case "d":
+				ms, err := strconv.Atoi(string(v))
+				if err != nil {
+					return nil, errCall
+				}
+				c.Until = now.Add(time.Duration(ms) * time.Millisecond)
+			case "k":
+				c.Key = string(v)
+			case "from":
+				for _, s := range bytes.Split(v, []byte{'+'}) {
+					shard, err := strconv.Atoi(string(s))
+					if err != nil {
+						return nil, errCall
+					}
+					c.From = append(c.From, shard)
+				}
+			case "whole":
+				c.Whole = string(v) == "1"
+			}
+		}
+		c.Text, rest = string(after[:n]), after[n:]
+		calls = append(calls, c)
+	}
+	return calls, nil
+}
+
+// AppendAnswer writes a searcher's word on one part.
+func AppendAnswer(b []byte, id string, end int, score uint64, value string) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, LetterAnswer)
+	b = fmt.Appendf(b, "%s %d %d -\n%s", id, end, score, value)
+	return seal(b, at)
+}
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -59,12 +59,17 @@
 	debug.SetMemoryLimit(m.lim.Memory)
 }
 
-// Run serves until the context ends, then answers all that was taken and returns.
+// Run serves at the configured address until the context ends, then answers all that was taken and returns.
 func (m *Mixer) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp", m.cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return m.Serve(ctx, ln)
+}
+
+// Serve is Run on a listener that the caller opened; it closes it.
+func (m *Mixer) Serve(ctx context.Context, ln net.Listener) error {
 	links, closeLinks := context.WithCancel(context.Background())
 	defer closeLinks()
 	var watch *discovery.Watcher
--- /dev/null
+++ b/mixer/mixer_test.go
@@ -0,0 +1,592 @@
+package mixer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/quick"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peathollow/brain"
+	"peathollow/internal/proto"
+	"peathollow/internal/standin"
+)
+
+// world is a mixer on loopback among stand-ins, and what these saw.
+type world struct {
+	t     *testing.T
+	fleet *standin.Fleet
+	mix   *Mixer
+	base  string
+	http  *http.Client
+	stop  context.CancelFunc
+	ended chan error
+
+	mu    sync.Mutex
+	seen  map[string][]sight // by part
+	lastD map[string]time.Time
+}
+
+type sight struct {
+	srv    int
+	reply  standin.Reply
+	call   proto.Call
+	gaveUp bool
+}
+
+func start(t *testing.T, n int, reply func(srv, try int, c proto.Call) standin.Reply, edit func(map[string]any)) *world {
+	t.Helper()
+	w := &world{t: t, seen: map[string][]sight{}, lastD: map[string]time.Time{}, ended: make(chan error, 1)}
+	var err error
+	w.fleet, err = standin.NewFleet(n, func(srv int, c proto.Call) standin.Reply {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		r := reply(srv, len(w.seen[c.ID]), c)
+		w.seen[c.ID] = append(w.seen[c.ID], sight{srv: srv, reply: r, call: c})
+		w.lastD[strings.Split(c.ID, ".")[0]] = time.Now()
+		return r
+	}, func(srv int, id string) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for i := range w.seen[id] {
+			if s := &w.seen[id][i]; s.srv == srv {
+				s.gaveUp = true
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := w.fleet.Config(edit)
+	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w.mix, err = New(c, zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.base = ln.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() { w.ended <- w.mix.Serve(ctx, ln) }()
+	w.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	for {
+		res, err := w.http.Get("http://" + w.base + "/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			return w
+		}
+	}
+}
+
+func (w *world) close() {
+	w.t.Helper()
+	w.stop()
+	if err := <-w.ended; err != nil {
+		w.t.Errorf("stopped with %v", err)
+	}
+	w.http.CloseIdleConnections()
+	w.fleet.Close()
+}
+
+func body(shards ...int) string {
+	var parts []string
+	for _, s := range shards {
+		parts = append(parts, fmt.Sprintf(`{"id":%d,"w":%g}`, s, 1/float64(len(shards))))
+	}
+	return `{"parts":[` + strings.Join(parts, ",") + `],"expr":"c41e77d0"}`
+}
+
+func (w *world) request(ctx context.Context, id, class, wait, body string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.base+"/"+class, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Header.Set("Req-Id", id)
+	r.Header.Set("Req-Owner", "acme")
+	r.Header.Set("Req-Deadline", wait)
+	if class == "keyed" {
+		r.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	return r
+}
+
+type got struct {
+	status int
+	after  string
+	closes bool
+	text   string
+	Exact  bool `json:"exact"`
+	Rows   []proto.Row
+}
+
+func (w *world) ask(id, class, wait, body string) (g got, err error) {
+	res, err := w.http.Do(w.request(context.Background(), id, class, wait, body))
+	if err != nil {
+		return g, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return g, err
+	}
+	g.status, g.after, g.closes, g.text = res.StatusCode, res.Header.Get("Retry-After"), res.Close, string(b)
+	if g.status == http.StatusOK {
+		err = json.Unmarshal(b, &g)
+	}
+	return g, err
+}
+
+func sound(_, _ int, _ proto.Call) standin.Reply { return standin.Reply{End: 200} }
+
+// Rules on sockets, after random troubles: one whole answer each, in time; honest values; no repeat and no
+// refusal of what may have run; nothing sent after the end; what is repeated was given up or came back before.
+func TestRulesUnderRandomTroubles(t *testing.T) {
+	classes := []string{"wide", "narrow", "keyed", "once"}
+	run := func(seed int64) bool {
+		dice := rand.New(rand.NewSource(seed))
+		bad := dice.Float64() * 0.4
+		w := start(t, 4, func(_, _ int, c proto.Call) standin.Reply {
+			r := standin.Reply{End: 200, After: time.Duration(dice.Intn(15)) * time.Millisecond}
+			if dice.Float64() < bad {
+				switch dice.Intn(8) {
+				case 0, 1:
+					r.Silent = true
+				case 2:
+					r.Reset = true
+				case 3:
+					r.Reset, r.Half = true, true
+				case 4, 5:
+					r.End = 503
+				case 6:
+					r.End = 500
+				case 7:
+					r.Junk = []byte("\xff\xff\xff\xffO") // longer than allowed
+				}
+			}
+			return r
+		}, nil)
+		defer w.close()
+		var all sync.WaitGroup
+		ok := true
+		for i := range 24 {
+			id, class := fmt.Sprintf("q%d-%d", uint32(seed), i), classes[i%4]
+			shards := dice.Perm(8)[:1+dice.Intn(6)]
+			all.Go(func() {
+				g, err := w.ask(id, class, "400m", body(shards...))
+				if msg := w.judge(id, class, shards, g, err, time.Now()); msg != "" {
+					t.Errorf("seed %d, %s %s: %s", seed, class, id, msg)
+				}
+			})
+		}
+		all.Wait()
+		return ok
+	}
+	if err := quick.Check(run, &quick.Config{MaxCount: 6, Rand: rand.New(rand.NewSource(5))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func (w *world) judge(id, class string, shards []int, g got, err error, at time.Time) string {
+	if err != nil {
+		return fmt.Sprintf("no whole answer: %v", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lastD[id].After(at.Add(time.Second)) {
+		return "a dispatch after the final answer"
+	}
+	ran := false
+	for _, s := range shards {
+		tries := w.seen[fmt.Sprintf("%s.%d", id, s)]
+		for i, x := range tries {
+			x.reply.Silent = x.reply.Silent || x.reply.Half
+			ran = ran || x.reply.End != 503 || x.reply.Silent || x.reply.Reset || x.reply.Junk != nil
+			if i+1 < len(tries) && class == "once" && ran {
+				return "a part that may have run went again"
+			}
+			if i+1 < len(tries) && x.reply.Silent && !x.reply.Reset && !x.gaveUp && !w.broke(x.srv) {
+				return "a second copy of a part that was not given up"
+			}
+			if class == "keyed" && x.call.Key != "key-"+id {
+				return "a part without its key"
+			}
+		}
+	}
+	switch {
+	case g.status == http.StatusServiceUnavailable && class == "once" && ran:
+		return "refused though it may have run"
+	case g.status == http.StatusOK:
+		return w.honest(id, class, shards, g)
+	case g.status != http.StatusServiceUnavailable && g.status != http.StatusInternalServerError:
+		return fmt.Sprintf("status %d", g.status)
+	}
+	return ""
+}
+
+// broke tells whether a searcher has ended any connection: that ends what was out on it too.
+func (w *world) broke(srv int) bool {
+	for _, tries := range w.seen {
+		for _, x := range tries {
+			if x.srv == srv && (x.reply.Reset || x.reply.Junk != nil) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) honest(id, class string, shards []int, g got) string {
+	share := 0.0
+	for _, r := range g.Rows {
+		wire, share1 := fmt.Sprintf("%s.%d", id, r.Shard), 1/float64(len(shards))
+		if class == "wide" {
+			wire, share1 = wire+".fetch", 1/float64(min(2, len(shards)))
+		}
+		share += share1
+		made := false
+		for _, x := range w.seen[wire] {
+			made = made || x.reply.End == 200 && !x.reply.Silent && x.reply.Junk == nil && standin.Value(x.call) == r.Value
+		}
+		if !made {
+			return fmt.Sprintf("shard %d has a value nobody gave", r.Shard)
+		}
+	}
+	if g.Exact && share < 0.999 || class != "wide" && share < 0.999 || share < 0.499 {
+		return fmt.Sprintf("answered with a share of %g, whole %v", share, g.Exact)
+	}
+	return ""
+}
+
+func TestAnAnswerThereAndBack(t *testing.T) {
+	w := start(t, 4, sound, nil)
+	defer w.close()
+	g, err := w.ask("a", "narrow", "500000u", body(3, 5))
+	if err != nil || g.status != 200 || !g.Exact || len(g.Rows) != 2 {
+		t.Errorf("%+v %v", g, err)
+	}
+	// The second step goes to the best scores and tells what was in and whether the first step was whole.
+	if g, err = w.ask("b", "wide", "500m", body(0, 1, 2, 3)); err != nil || g.status != 200 || !g.Exact || len(g.Rows) != 2 {
+		t.Fatalf("%+v %v", g, err)
+	}
+	for _, r := range g.Rows {
+		c := w.seen[fmt.Sprintf("b.%d.fetch", r.Shard)][0].call
+		if !c.Whole || fmt.Sprint(c.From) != "[0 1 2 3]" {
+			t.Errorf("second step %+v", c)
+		}
+		for s := range 4 {
+			if x := w.seen[fmt.Sprintf("b.%d", s)][0].call; standin.Score(x) > standin.Score(w.seen[fmt.Sprintf("b.%d", r.Shard)][0].call) &&
+				w.seen[fmt.Sprintf("b.%d.fetch", s)] == nil {
+				t.Errorf("shard %d was passed over", s)
+			}
+		}
+	}
+}
+
+func TestBadRequestsAreToldAtOnce(t *testing.T) {
+	w := start(t, 4, sound, nil)
+	defer w.close()
+	for _, c := range []struct{ id, class, wait, body, want string }{
+		{"a", "narrow", "500m", "no json", "body"},
+		{"b", "narrow", "500m", `{"parts":[],"expr":"x"}`, "no parts"},
+		{"c", "narrow", "500m", `{"parts":[{"id":1}]}`, "no expr"},
+		{"d", "narrow", "500m", body(1, 1), "comes twice"},
+		{"e", "narrow", "500m", body(8), "outside"},
+		{"f", "nobody", "500m", body(1), "unknown class"},
+		{"g", "narrow", "", body(1), "Req-Deadline"},
+		{"h", "narrow", "5 hours", body(1), "Req-Deadline"},
+		{"", "narrow", "500m", body(1), "Req-Id"},
+		{"i j", "narrow", "500m", body(1), "Req-Id"},
+		{"k", "narrow", "500m", `{"expr":"` + strings.Repeat("x", 70<<10) + `"}`, "more than"},
+	} {
+		g, err := w.ask(c.id, c.class, c.wait, c.body)
+		if err != nil || g.status/100 != 4 || !strings.Contains(g.text, c.want) {
+			t.Errorf("%q: %d %q %v", c.want, g.status, g.text, err)
+		}
+	}
+	if g, err := w.ask("late", "narrow", "0m", body(1)); err != nil || g.status != 503 {
+		t.Errorf("a deadline already past: %+v %v", g, err)
+	}
+	if len(w.seen) > 0 {
+		t.Errorf("dispatches: %v", w.seen)
+	}
+}
+
+// A client that leaves ends its scan: the parts it held count as free again.
+func TestAClientLeaves(t *testing.T) {
+	arrived := make(chan bool, 8)
+	w := start(t, 4, func(_, _ int, c proto.Call) standin.Reply {
+		arrived <- true
+		return standin.Reply{End: 200, Silent: strings.HasPrefix(c.ID, "gone")}
+	}, func(s map[string]any) { s["limits"].(map[string]any)["maxOpen"] = 2 })
+	defer w.close()
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() {
+		_, err := w.http.Do(w.request(ctx, "gone", "narrow", "60000m", body(1)))
+		done <- err
+	}()
+	<-arrived
+	if g, err := w.ask("over", "narrow", "500m", body(2)); err != nil || g.status != 503 {
+		t.Errorf("beyond what may be held: %+v %v", g, err)
+	}
+	leave()
+	if err := <-done; err == nil {
+		t.Error("the client did not leave")
+	}
+	for i := 0; ; i++ { // the mixer hears of it in its own time
+		g, err := w.ask(fmt.Sprint("next", i), "narrow", "500m", body(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if g.status == 200 {
+			break
+		}
+	}
+}
+
+// What is queued on a connection that never comes up must not leave after its scan has ended.
+func TestNothingLeavesAfterTheEnd(t *testing.T) {
+	o := &owner{lim: Limits{Batch: 8}, log: zap.NewNop(), book: newBook(), now: time.Second}
+	o.set = &w0(t).cfg.Settings
+	o.m = brain.New(o.set.Brain, o, 0)
+	o.lim = newLimits(w0(t).cfg)
+	dialling, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o.ctx, o.fleet, o.gone = dialling, newFleet(), make(chan struct{})
+	close(o.gone)
+	s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+		reply: make(chan answer, 1)}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: ln.Addr().String(), Cell: 1, Weight: 1}}})
+	o.guard(func() { o.admit(s, time.Now()) })
+	if len(o.out) != 1 {
+		t.Fatalf("%d parts sent", len(o.out))
+	}
+	o.left(s)
+	o.flush()
+	if len(o.fleet.srvs[0].lanes) > 0 && o.book.parts[2] != nil {
+		t.Error("a part left after the end")
+	}
+}
+
+// SIGTERM: what is in hand is finished, what still comes is served, and told to close.
+func TestStopFinishesWhatWasTaken(t *testing.T) {
+	release, arrived := make(chan struct{}), make(chan struct{}, 1)
+	w := start(t, 4, func(_, _ int, c proto.Call) standin.Reply {
+		if strings.HasPrefix(c.ID, "held") {
+			arrived <- struct{}{}
+			return standin.Reply{End: 200, After: 200 * time.Millisecond}
+		}
+		return standin.Reply{End: 200}
+	}, nil)
+	held := make(chan got, 1)
+	go func() {
+		g, err := w.ask("held", "narrow", "800m", body(1))
+		if err != nil {
+			t.Error(err)
+		}
+		held <- g
+	}()
+	<-arrived
+	close(release)
+	w.stop()
+	for !w.mix.stopping.Load() {
+		runtime.Gosched()
+	}
+	if g, err := w.ask("new", "narrow", "500m", body(2)); err != nil || g.status != 200 || !g.closes {
+		t.Errorf("after the signal: %+v %v", g, err)
+	}
+	if g := <-held; g.status != 200 || !g.closes {
+		t.Errorf("in hand at the signal: %+v", g)
+	}
+	w.close()
+	if _, err := net.Dial("tcp", w.base); err == nil {
+		t.Error("still listening")
+	}
+}
+
+// A panic in a step answers all that is in hand and ends nothing else.
+func TestAPanicIsAnswered(t *testing.T) {
+	o := newOwner(context.Background(), &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
+	s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+		reply: make(chan answer, 1)}
+	o.guard(func() { o.admit(s, time.Now()) })
+	last := o.book.lastID
+	o.guard(func() { panic("a step fails") })
+	select {
+	case a := <-s.reply:
+		if a.kind != abandoned && a.kind != throttled {
+			t.Errorf("answered %+v", a)
+		}
+	default:
+		t.Error("not answered")
+	}
+	if len(o.book.scans) != 0 || o.book.lastID < last {
+		t.Error("the book is not anew")
+	}
+}
+
+// w0 is a mixer that is not run.
+func w0(t *testing.T) *Mixer {
+	f, err := standin.NewFleet(4, func(int, proto.Call) standin.Reply { return standin.Reply{} }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	text := f.Config(nil)
+	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := New(c, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// With all descriptors of clients in use the one idle longest goes; busy ones and their answers stay.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	w := start(t, 4, sound, nil)
+	defer w.close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newGate(ln, 3)
+	srv := &http.Server{ConnState: g.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {})}
+	go srv.Serve(g)
+	defer srv.Close()
+	for i := range 10 { // each leaves its connection idle
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		g.mu.Lock()
+		if g.n > 3 {
+			t.Errorf("%d held", g.n)
+		}
+		g.mu.Unlock()
+	}
+}
+
+func TestTimersAreOrdered(t *testing.T) {
+	dice := rand.New(rand.NewSource(3))
+	var q timers
+	last, n := time.Duration(-1), 0
+	for range 500 {
+		at := time.Duration(dice.Intn(50))
+		q.add(at, func() {
+			if at < last {
+				t.Errorf("%d after %d", at, last)
+			}
+			last = at
+			n++
+		})
+	}
+	for f := q.due(50); f != nil; f = q.due(50) {
+		f()
+	}
+	if n != 500 || q.next(0) != time.Hour {
+		t.Errorf("%d ran", n)
+	}
+}
+
+// Nothing is left after a stop.
+func TestNoGoroutineIsLeft(t *testing.T) {
+	before := runtime.NumGoroutine()
+	w := start(t, 4, func(_, try int, c proto.Call) standin.Reply {
+		return standin.Reply{End: 200, Silent: try == 0 && strings.HasSuffix(c.ID, ".1")}
+	}, nil)
+	for i := range 5 {
+		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "300m", body(1, 2)); err != nil {
+			t.Error(err)
+		}
+	}
+	w.close()
+	deadline := time.Now().Add(5 * time.Second)
+	for runtime.NumGoroutine() > before {
+		if time.Now().After(deadline) {
+			var b bytes.Buffer
+			stack := make([]byte, 1<<16)
+			b.Write(stack[:runtime.Stack(stack, true)])
+			t.Fatalf("%d goroutines before, %d after:\n%s", before, runtime.NumGoroutine(), b.String())
+		}
+		runtime.Gosched()
+	}
+}
+
+func BenchmarkScan(b *testing.B) {
+	f, err := standin.NewFleet(4, func(int, proto.Call) standin.Reply { return standin.Reply{End: 200} }, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	text := f.Config(nil)
+	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
+	if err != nil {
+		b.Fatal(err)
+	}
+	m, err := New(c, zap.NewNop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	o := newOwner(ctx, &m.cfg, m.lim, m.log, nil)
+	list, err := proto.ReadList([]byte(hosts(f)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	o.list(brain.Whole, list)
+	done := make(chan struct{})
+	go o.run(done)
+	defer func() { stop(); close(done); <-o.gone }()
+	t := &takeIn{o: o, lim: &m.lim, log: m.log}
+	parts := []proto.Part{{Shard: 1, Weight: 0.5}, {Shard: 5, Weight: 0.5}}
+	b.ReportAllocs()
+	for i := range b.N {
+		a, err := t.await(ctx, proto.Query{ID: fmt.Sprint(i), Class: "narrow", Wait: time.Second, Parts: parts, Text: "x"}, time.Now())
+		if err != nil || a.kind != completed {
+			b.Fatal(a, err)
+		}
+	}
+}
+
+func hosts(f *standin.Fleet) string {
+	var all []standin.Host
+	for i := range f.Searchers {
+		all = append(all, f.Host(i, "up"))
+	}
+	b, _ := json.Marshal(map[string]any{"seq": 1, "whole": true, "hosts": all})
+	return string(b)
+}
