--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -13,6 +14,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/quick"
 	"time"
@@ -367,33 +369,85 @@
 	}
 }
 
-// What is queued on a connection that never comes up must not leave after its scan has ended.
-func TestNothingLeavesAfterTheEnd(t *testing.T) {
-	dialling, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	o := newOwner(dialling, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
-	s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
-		reply: make(chan answer, 1)}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// Two dispatches of a part are never out at once: the searcher that said nothing is told before another is asked.
+func TestAPartIsGivenUpBeforeItGoesAgain(t *testing.T) {
+	w := start(t, 4, func(_, try int, c proto.Call) standin.Reply {
+		return standin.Reply{End: 200, Silent: try == 0 && strings.HasPrefix(c.ID, "stuck")}
+	}, nil)
+	defer w.close()
+	for i := range 30 { // what is silent for long is told by what others took
+		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "800m", body(1, 3, 5, 7)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if g, err := w.ask("stuck", "narrow", "800m", body(1)); err != nil || g.status != 200 {
+		t.Fatalf("%+v %v", g, err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; runtime.Gosched() {
+		w.mu.Lock()
+		tries, told := len(w.seen["stuck.1"]), w.seen["stuck.1"][0].gaveUp
+		w.mu.Unlock()
+		if tries == 2 && told {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d tries, the first given up: %v", tries, told)
+		}
+	}
+}
+
+// deaf listens where new connections never come up, as at a machine that has vanished.
+func deaf(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: ln.Addr().String(), Cell: 1, Weight: 1}}})
-	o.guard(func() { o.admit(s, time.Now()) })
-	if len(o.out) != 1 {
-		t.Fatalf("%d parts sent", len(o.out))
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
 	}
-	o.left(s)
-	o.flush()
-	if len(o.fleet.srvs[0].lanes) > 0 {
-		t.Error("a part left after the end")
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, f := range o.later {
-		f()
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for {
+		c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
 	}
-	if len(o.book.parts) > 0 || len(o.book.byWire) > 0 || o.book.open > 0 {
-		t.Errorf("still held: %v", o.book)
+}
+
+// What waits to leave, in the batch or on a connection that does not come up, must not leave after its scan's end.
+func TestNothingLeavesAfterTheEnd(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		o := newOwner(ctx, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
+		s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+			reply: make(chan answer, 1)}
+		o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: deaf(t), Cell: 1, Weight: 1}}})
+		o.guard(func() { o.admit(s, time.Now()) })
+		if len(o.out) != 1 {
+			t.Fatalf("%d parts sent", len(o.out))
+		}
+		if sent {
+			o.flush()
+		}
+		p := o.book.byWire["x.1"]
+		o.left(s)
+		o.flush()
+		if l := p.tries[0].lane; sent != (l != nil) || sent && l.conn.Recall(p.tries[0].seq, "x.1") {
+			t.Error("a part waits to leave after the end")
+		}
+		for _, f := range o.later {
+			f()
+		}
+		if len(o.book.parts) > 0 || len(o.book.byWire) > 0 || o.book.open > 0 {
+			t.Errorf("still held: %v", o.book)
+		}
 	}
 }
 
