--- /dev/null
+++ b/examples/toyfleet/main.go
@@ -0,0 +1,51 @@
+// Command toyfleet is a toy discovery service and four toy searchers on loopback, to try a mixer with.
+//
+// It stands in for what the platform provides. One of its searchers, toy-3, can be made to say nothing with -mute.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"peathollow/internal/proto"
+	"peathollow/internal/standin"
+)
+
+func main() {
+	mute := flag.Bool("mute", false, "toy-3 takes parts and answers none")
+	flag.Parse()
+	if err := run(*mute); err != nil {
+		fmt.Fprintln(os.Stderr, "toyfleet:", err)
+		os.Exit(1)
+	}
+}
+
+func run(mute bool) error {
+	var hosts []standin.Host
+	for i := range 4 {
+		s, err := standin.NewSearcher(fmt.Sprintf("127.0.0.1:%d", 3101+i), func(proto.Call) standin.Reply {
+			return standin.Reply{End: 200, After: time.Duration(5+rand.IntN(20)) * time.Millisecond, Silent: mute && i == 3}
+		}, nil)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		hosts = append(hosts, standin.Host{Host: fmt.Sprintf("toy-%d", i), Dial: s.Addr(), Site: "here", Class: "toy",
+			Block: i, Health: "up", Share: 1})
+	}
+	d, err := standin.NewDiscovery("127.0.0.1:8500", hosts)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	fmt.Println("discovery on", d.Addr(), "and searchers on 127.0.0.1:3101 to 3104; stop with Ctrl-C")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+	return nil
+}
--- a/mixer/admit.go
+++ b/mixer/admit.go
@@ -10,11 +10,13 @@
 func (o *owner) admit(s *scan, came time.Time) {
 	ty, err := o.fits(s)
 	if err != nil {
+		o.book.tally.scans[unfit]++
 		s.reply <- answer{kind: unfit, fault: err}
 		return
 	}
 	// So many are held as the settings allow; what comes beyond never reaches the module.
 	if o.book.open >= o.lim.Open {
+		o.book.tally.full++
 		s.reply <- answer{kind: throttled}
 		return
 	}
@@ -67,6 +69,7 @@
 // left ends a scan whose client is gone.
 func (o *owner) left(s *scan) {
 	if o.book.scans[s.id] == s {
+		o.book.tally.left++
 		o.m.Left(s.id)
 		o.end(s, answer{kind: abandoned})
 	}
--- a/mixer/book.go
+++ b/mixer/book.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"peathollow/brain"
 	"peathollow/internal/proto"
 )
@@ -17,6 +19,15 @@
 	lastID uint64
 	lastNo uint64
 	open   int // scans and their parts
+	tally  tally
+}
+
+// tally counts what ended since it was last written to the log.
+type tally struct {
+	scans [unfit + 1]int
+	parts [brain.Stale + 1]int
+	left  int // clients that went away
+	full  int // scans beyond what may be held
 }
 
 func newBook() book {
@@ -105,9 +116,30 @@
 	delete(o.book.byReq, s.q.ID)
 	o.book.open -= s.held
 	o.closeStep(s)
+	o.book.tally.scans[a.kind]++
 	s.reply <- a
 }
 
+// report writes what ended of late, one line however much it is: the log counts as memory.
+func (o *owner) report() {
+	o.timers.add(o.now+o.lim.LogEvery, o.report)
+	t := o.book.tally
+	if t == (tally{}) {
+		return
+	}
+	o.book.tally = tally{}
+	ends := map[string]int{}
+	for i, name := range []string{"pass", "fault", "no room", "too slow", "no route", "cut", "undone", "stale"} {
+		if t.parts[i] > 0 {
+			ends[name] = t.parts[i]
+		}
+	}
+	o.log.Info("tally", zap.Int("completed", t.scans[completed]), zap.Int("throttled", t.scans[throttled]),
+		zap.Int("abandoned", t.scans[abandoned]), zap.Int("left", t.left), zap.Int("full", t.full),
+		zap.Int("unfit", t.scans[unfit]), zap.Int("open", o.book.open), zap.Int("connections", o.fleet.lanes),
+		zap.Any("dispatches", ends))
+}
+
 // returned books how a dispatch ended and tells the module.
 func (o *owner) returned(p *part, no int, end brain.Outcome) {
 	t := &p.tries[no]
@@ -116,6 +148,7 @@
 	}
 	t.out = false
 	p.live--
+	o.book.tally.parts[end]++
 	if l := t.lane; l != nil {
 		l.drop(p, no)
 		if l.used = o.now; len(l.out) == 0 && l.retired {
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -33,7 +33,8 @@
 	ReadyWait     time.Duration // for discovery's first word, when a list is known
 	Link          link.Limits
 	Discovery     discovery.Limits
-	LogFirst      int // log lines of a kind and second, then every LogThereafter-th
+	LogEvery      time.Duration // between tallies
+	LogFirst      int           // log lines of a kind and second, then every LogThereafter-th
 	LogThereafter int
 }
 
@@ -71,6 +72,6 @@
 		Link:      link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect},
 		Discovery: discovery.Limits{Body: 8 << 20, Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
 			Pause: time.Second},
-		LogFirst: 5, LogThereafter: 100,
+		LogEvery: 10 * time.Second, LogFirst: 5, LogThereafter: 100,
 	}
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -84,6 +84,7 @@
 	})
 	o.list(brain.Remembered, m.cfg.Known)
 	o.sweep()
+	o.report()
 
 	done := make(chan struct{})
 	var all sync.WaitGroup
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -139,6 +139,7 @@
 	o.m.At(o.now)
 	o.relist()
 	o.sweep()
+	o.report()
 	if o.stopAt > 0 {
 		o.stop(o.stopAt - o.now)
 	}
