--- a/mixer/book.go
+++ b/mixer/book.go
@@ -18,7 +18,7 @@
 	byWire map[string]*part
 	lastID uint64
 	lastNo uint64
-	open   int // scans and their parts
+	open   int // scans, and parts whose value is not in: what the settings let a mixer hold
 	tally  tally
 }
 
@@ -42,7 +42,6 @@
 	parts  []*part // of the present step
 	from   []int   // shards that were in at the first step's end
 	whole  bool    // the first step's answer was
-	held   int     // what it adds to the open count
 	reply  chan answer
 }
 
@@ -77,19 +76,14 @@
 	b.lastNo++
 	s.id, s.no = b.id(), b.lastNo
 	b.scans[s.id], b.byReq[s.q.ID] = s, s
-	b.hold(s, 1)
-}
-
-func (b *book) hold(s *scan, n int) {
-	s.held += n
-	b.open += n
+	b.open++
 }
 
 func (b *book) addPart(s *scan, shard int, wire string) *part {
 	p := &part{id: b.id(), scan: s, shard: shard, wire: wire}
 	s.parts = append(s.parts, p)
 	b.parts[p.id], b.byWire[wire] = p, p
-	b.hold(s, 1)
+	b.open++
 	return p
 }
 
@@ -97,6 +91,9 @@
 func (o *owner) closeStep(s *scan) {
 	for _, p := range s.parts {
 		p.over = true
+		if !p.in {
+			o.book.open--
+		}
 		o.recall(p)
 		o.book.forget(p)
 	}
@@ -106,7 +103,9 @@
 func (b *book) forget(p *part) {
 	if p.over && p.live == 0 {
 		delete(b.parts, p.id)
-		delete(b.byWire, p.wire)
+		if b.byWire[p.wire] == p { // a client may have used its request's id again
+			delete(b.byWire, p.wire)
+		}
 	}
 }
 
@@ -114,7 +113,7 @@
 func (o *owner) end(s *scan, a answer) {
 	delete(o.book.scans, s.id)
 	delete(o.book.byReq, s.q.ID)
-	o.book.open -= s.held
+	o.book.open--
 	o.closeStep(s)
 	o.book.tally.scans[a.kind]++
 	s.reply <- a
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -97,7 +97,7 @@
 	t := &takeIn{o: o, lim: &m.lim, log: m.log, stopping: m.stopping.Load}
 	gate := newGate(ln, m.lim.Clients)
 	srv := &http.Server{Handler: m.routes(t.front()), ConnState: gate.state, ReadTimeout: m.lim.ClientRead,
-		WriteTimeout: m.lim.ClientWrite, IdleTimeout: m.lim.ClientIdle, ErrorLog: zap.NewStdLog(m.log)}
+		WriteTimeout: m.lim.ClientWrite, MaxHeaderBytes: m.lim.Body, IdleTimeout: m.lim.ClientIdle, ErrorLog: zap.NewStdLog(m.log)}
 	failed := make(chan error, 1)
 	all.Go(func() { failed <- srv.Serve(gate) })
 	all.Go(func() { m.whenReady(links, first) })
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -396,6 +396,46 @@
 	}
 }
 
+// Only parts still waited for count as held. Against turning away, in a burst, scans there was room for: those in
+// hand had most of their parts, and the second step took the place of the first.
+func TestWhatIsInIsNotHeld(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := newOwner(ctx, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
+	q := proto.Query{ID: "x", Class: "wide", Wait: time.Second}
+	for s := range 4 {
+		q.Parts = append(q.Parts, proto.Part{Shard: s, Weight: 0.25})
+	}
+	var hosts []proto.Host
+	for i := range 4 {
+		hosts = append(hosts, proto.Host{Name: fmt.Sprint(i), Addr: deaf(t), Cell: i, Weight: 1})
+	}
+	o.list(brain.Whole, proto.List{Hosts: hosts})
+	s := &scan{q: q, reply: make(chan answer, 1)}
+	o.admit(s, time.Now())
+	o.flush()
+	pass := func(wire string) {
+		p := o.book.byWire[wire]
+		o.answered(p.tries[0].lane, proto.Answer{ID: wire, End: brain.Pass})
+	}
+	for i, want := range []int{4, 3, 2} {
+		if pass(fmt.Sprintf("x.%d", i)); o.book.open != want {
+			t.Errorf("%d held with %d parts in", o.book.open, i+1)
+		}
+	}
+	pass("x.3")
+	for _, f := range o.later {
+		f()
+	}
+	if o.book.open != 3 {
+		t.Errorf("%d held in the second step", o.book.open)
+	}
+	o.left(s)
+	if o.book.open != 0 {
+		t.Errorf("%d held after the end", o.book.open)
+	}
+}
+
 // deaf listens where new connections never come up, as at a machine that has vanished.
 func deaf(t *testing.T) string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
--- a/mixer/relay.go
+++ b/mixer/relay.go
@@ -24,6 +24,7 @@
 	}
 	if a.End == brain.Pass && !p.in && !p.over {
 		p.in, p.value, p.score = true, a.Value, a.Score
+		o.book.open--
 	}
 	o.returned(p, no, a.End)
 }
