--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -71,15 +71,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := w.fleet.Config(edit)
-	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
-	if err != nil {
-		t.Fatal(err)
-	}
-	if w.mix, err = New(c, zap.NewNop()); err != nil {
-		t.Fatal(err)
-	}
-	ln, err := net.Listen("tcp", c.Listen)
+	w.mix = made(t, w.fleet, edit)
+	ln, err := net.Listen("tcp", w.mix.cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -557,7 +550,13 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	text := f.Config(nil)
+	return made(t, f, nil)
+}
+
+// made is a mixer of a fleet.
+func made(t testing.TB, f *standin.Fleet, edit func(map[string]any)) *Mixer {
+	t.Helper()
+	text := f.Config(edit)
 	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
 	if err != nil {
 		t.Fatal(err)
@@ -652,15 +651,7 @@
 		b.Fatal(err)
 	}
 	defer f.Close()
-	text := f.Config(nil)
-	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
-	if err != nil {
-		b.Fatal(err)
-	}
-	m, err := New(c, zap.NewNop())
-	if err != nil {
-		b.Fatal(err)
-	}
+	m := made(b, f, nil)
 	ctx, stop := context.WithCancel(context.Background())
 	o := newOwner(ctx, &m.cfg, m.lim, m.log, nil)
 	list, err := proto.ReadList([]byte(hosts(f)))
