Tidy: one way to take back a dispatch, to end it later and to retire a connection; dead code out

Read once more: four copies of queuing an end for the next batch (book.returnLater), three of closing a connection that takes nothing new once it is empty (lane.retire), and a dispatch taken back before its batch was sent had its own path in flush beside the one for queued frames (try.takeBack serves both).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -64,8 +65,8 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c := Config{Name: or(f.Name, env("ROUTER_NAME")), Listen: or(f.Listen, env("ROUTER_LISTEN")),
-		Discovery: or(f.Discovery, env("ROUTER_DISCOVERY")), Cores: defaultCores, MemoryMB: defaultMemory,
+	c := Config{Name: cmp.Or(f.Name, env("ROUTER_NAME")), Listen: cmp.Or(f.Listen, env("ROUTER_LISTEN")),
+		Discovery: cmp.Or(f.Discovery, env("ROUTER_DISCOVERY")), Cores: defaultCores, MemoryMB: defaultMemory,
 		Sockets: defaultSockets}
 	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
@@ -117,13 +118,6 @@
 	return c, nil
 }
 
-func or(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
-
 // flatten turns nested settings into the wire's paths and values.
 func flatten(text []byte) (map[string]string, error) {
 	d := json.NewDecoder(bytes.NewReader(text))
@@ -155,15 +149,13 @@
 			if _, ok := x.(map[string]any); ok {
 				lay(kv, fmt.Sprintf("%s.%d", path, i), x)
 			} else {
-				words = append(words, plain(x))
+				words = append(words, fmt.Sprint(x))
 			}
 		}
 		kv[path+".count"] = strconv.Itoa(len(v))
 		kv[path] = strings.Join(words, ",")
 	case nil:
 	default:
-		kv[path] = plain(v)
+		kv[path] = fmt.Sprint(v)
 	}
 }
-
-func plain(v any) string { return fmt.Sprint(v) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -40,7 +40,7 @@
 
 // Conn is one connection, perhaps still coming up.
 type Conn struct {
-	Addr string
+	addr string
 	lim  Limits
 	ev   Events
 	stop context.CancelCauseFunc
@@ -50,7 +50,6 @@
 	queue   []frame
 	last    uint64 // the last frame taken in
 	written uint64 // the last frame whose last byte was written
-	nc      net.Conn
 	shut    bool
 }
 
@@ -61,7 +60,7 @@
 
 // Open starts a connection; what is sent before it is up waits.
 func Open(ctx context.Context, addr string, lim Limits, ev Events) *Conn {
-	c := &Conn{Addr: addr, lim: lim, ev: ev, wake: make(chan struct{}, 1)}
+	c := &Conn{addr: addr, lim: lim, ev: ev, wake: make(chan struct{}, 1)}
 	ctx, c.stop = context.WithCancelCause(ctx)
 	go c.run(ctx)
 	return c
@@ -141,7 +140,7 @@
 
 func (c *Conn) serve(ctx context.Context) error {
 	d := net.Dialer{Timeout: c.lim.Connect, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", c.Addr)
+	nc, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		return fmt.Errorf("connect: %w", err)
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -35,7 +35,6 @@
 	moved  chan struct{} // closed at a change
 	silent chan struct{} // not nil while it says nothing; closed when it speaks again
 	junk   string
-	asked  int
 }
 
 // NewDiscovery listens at an address and tells of these searchers.
@@ -93,19 +92,11 @@
 	d.junk = text
 }
 
-// Asked is how many calls have come.
-func (d *Discovery) Asked() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.asked
-}
-
 func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
 	whole := err != nil
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	d.mu.Lock()
-	d.asked++
 	moved, silent := d.moved, d.silent
 	current := d.seq > after
 	d.mu.Unlock()
--- a/mixer/book.go
+++ b/mixer/book.go
@@ -139,6 +139,11 @@
 		zap.Any("dispatches", ends))
 }
 
+// returnLater is returned for an end that is known at once: the module is never called from its own actions.
+func (o *owner) returnLater(p *part, no int, end brain.Outcome) {
+	o.later = append(o.later, func() { o.returned(p, no, end) })
+}
+
 // returned books how a dispatch ended and tells the module.
 func (o *owner) returned(p *part, no int, end brain.Outcome) {
 	t := &p.tries[no]
@@ -149,10 +154,7 @@
 	p.live--
 	o.book.tally.parts[end]++
 	if l := t.lane; l != nil {
-		l.drop(p, no)
-		if l.used = o.now; len(l.out) == 0 && l.retired {
-			l.conn.Close()
-		}
+		l.drop(p, no, o.now)
 	}
 	o.m.Returned(p.id, no, end, o.now-t.at)
 	o.book.forget(p)
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -71,7 +71,6 @@
 // Serve is Run on a listener that the caller opened; it closes it.
 func (m *Mixer) Serve(ctx context.Context, ln net.Listener) error {
 	links, closeLinks := context.WithCancel(context.Background())
-	defer closeLinks()
 	var watch *discovery.Watcher
 	o := newOwner(links, &m.cfg, m.lim, m.log, func() { watch.Ask() })
 	first := make(chan struct{})
@@ -106,7 +105,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return m.finish(srv, gate, o)
+	return m.finish(srv, o)
 }
 
 // whenReady waits for discovery's first list; one known from before will do if that does not come.
@@ -140,7 +139,7 @@
 }
 
 // finish answers what still comes for a while, then what is in hand, and leaves.
-func (m *Mixer) finish(srv *http.Server, gate *gate, o *owner) error {
+func (m *Mixer) finish(srv *http.Server, o *owner) error {
 	m.stopping.Store(true)
 	m.log.Info("stopping")
 	o.post(func() { o.stop(m.lim.StopFinish) })
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -131,8 +131,7 @@
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
 			clear(l.out)
-			l.retired = true
-			l.conn.Close()
+			l.retire()
 		}
 	}
 	o.m = brain.New(o.set.Brain, o, o.now)
--- a/mixer/route.go
+++ b/mixer/route.go
@@ -36,10 +36,22 @@
 	retired bool
 }
 
-func (l *lane) drop(p *part, no int) {
+// drop books that a dispatch is back.
+func (l *lane) drop(p *part, no int, now time.Duration) {
 	if n, ok := l.out[p]; ok && n == no {
 		delete(l.out, p)
 	}
+	if l.used = now; l.retired {
+		l.retire()
+	}
+}
+
+// retire lets a connection take nothing new, and closes it once it is empty.
+func (l *lane) retire() {
+	l.retired = true
+	if len(l.out) == 0 {
+		l.conn.Close()
+	}
 }
 
 // list hands the module what discovery told.
@@ -122,10 +134,7 @@
 // Renew is an action of the module: what is sent next goes out on a new connection.
 func (o *owner) Renew(srv int) {
 	for _, l := range o.fleet.srvs[srv].lanes {
-		l.retired = true
-		if len(l.out) == 0 {
-			l.conn.Close()
-		}
+		l.retire()
 	}
 }
 
@@ -135,8 +144,7 @@
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
 			if len(l.out) == 0 && o.now-l.used >= o.lim.LaneIdle && !l.retired {
-				l.retired = true
-				l.conn.Close()
+				l.retire()
 			}
 		}
 	}
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -38,16 +38,13 @@
 			call = append(call, s)
 			return true
 		})
-		o.send(srv, slices.DeleteFunc(call, func(s sending) bool { return o.unsent(s.p, s.no) }))
+		o.send(srv, slices.DeleteFunc(call, func(s sending) bool { return s.p.unwanted(s.no) }))
 	}
 }
 
-// unsent tells that a dispatch was overtaken by the end of its scan or was called off within its batch.
-func (o *owner) unsent(p *part, no int) bool {
+// unwanted tells that a dispatch was overtaken by the end of its scan or was called off within its batch.
+func (p *part) unwanted(no int) bool {
 	t := &p.tries[no]
-	if t.out && t.end == brain.Stale && p.over {
-		o.later = append(o.later, func() { o.returned(p, no, brain.Stale) })
-	}
 	return !t.out || t.end != brain.Stale || p.over
 }
 
@@ -75,7 +72,7 @@
 	}
 	for _, c := range call {
 		if !ok { // no connection may be had, or this one takes no more: it never left
-			o.later = append(o.later, func() { o.returned(c.p, c.no, brain.NoRoute) })
+			o.returnLater(c.p, c.no, brain.NoRoute)
 			continue
 		}
 		t := &c.p.tries[c.no]
@@ -101,10 +98,10 @@
 	}
 	t.end = end
 	switch {
-	case t.lane == nil || t.lane.conn.Recall(t.seq, p.wire):
-		o.later = append(o.later, func() { o.returned(p, no, brain.Stale) })
+	case t.takeBack(p):
+		o.returnLater(p, no, brain.Stale)
 	case !o.set.MayCancel:
-		o.later = append(o.later, func() { o.returned(p, no, end) })
+		o.returnLater(p, no, end)
 	default:
 		if seq, ok := t.lane.conn.GiveUp(p.wire); ok {
 			t.lane.kills[seq] = p
@@ -117,12 +114,16 @@
 // recall takes back what has not left when a step ends: nothing of a scan goes out after its final answer.
 func (o *owner) recall(p *part) {
 	for no := range p.tries {
-		if t := &p.tries[no]; t.out && t.lane != nil && t.lane.conn.Recall(t.seq, p.wire) {
-			o.later = append(o.later, func() { o.returned(p, no, brain.Stale) })
+		if t := &p.tries[no]; t.out && t.takeBack(p) {
+			o.returnLater(p, no, brain.Stale)
 		}
 	}
 }
 
+// takeBack tells that a dispatch has not begun to leave, and now never will: its batch's end passes it over, or it
+// is out of its connection's queue.
+func (t *try) takeBack(p *part) bool { return t.lane == nil || t.lane.conn.Recall(t.seq, p.wire) }
+
 // givenUp follows when frames that give parts up are written. Those of one write share a clock reading: parts
 // called off together must read as one failure of their searcher, or it would be kept off for far too long.
 func (o *owner) givenUp(l *lane, seqs []uint64) {
