SIGHUP reads the configuration again and moves the watch to discovery's new address

Now the signal is caught before the first reading; a file that can't be used leaves the old one in force; the watch drops a call in hand and starts with the whole list at the new address. Only discovery takes effect; other keys that differ are named in the log.

--- a/cmd/peathollow/main.go
+++ b/cmd/peathollow/main.go
@@ -21,7 +21,12 @@
 }
 
 func run() error {
-	c, err := mixer.Load(os.Getenv, os.ReadFile)
+	// Caught before the configuration is first read: from the first instant on this signal means to read it again,
+	// and would end the process if nobody listened.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	load := func() (mixer.Config, error) { return mixer.Load(os.Getenv, os.ReadFile) }
+	c, err := load()
 	if err != nil {
 		return err
 	}
@@ -37,5 +42,6 @@
 	m.Confine()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	go m.Follow(ctx, again, load)
 	return m.Run(ctx)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -22,6 +23,24 @@
 	MemoryMB, Sockets       int
 	Known                   proto.List
 	Settings                Settings
+	told                    map[string]string // what can't change without a start, by key as it is written
+}
+
+// Differs names the keys, told or left out, in which another configuration asks for what only a start can give.
+func (c Config) Differs(d Config) []string {
+	var keys []string
+	for k, v := range c.told {
+		if w, ok := d.told[k]; !ok || v != w {
+			keys = append(keys, k)
+		}
+	}
+	for k := range d.told {
+		if _, ok := c.told[k]; !ok {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
 }
 
 // Defaults for a machine that states no limits.
@@ -109,6 +128,11 @@
 	if c.Settings, err = Read(kv, c.Seed); err != nil {
 		return c, err
 	}
+	c.told = map[string]string{"name": c.Name, "listen": c.Listen, "seed": f.Seed, "limits.cores": fmt.Sprint(c.Cores),
+		"limits.memory_mb": fmt.Sprint(c.MemoryMB), "limits.sockets": fmt.Sprint(c.Sockets)}
+	for k, v := range kv {
+		c.told["settings."+k] = v
+	}
 	if len(c.Settings.Types) == 0 {
 		return c, fmt.Errorf("setting requestClasses: names no table type")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,3 +83,24 @@
 		t.Error(err)
 	}
 }
+
+// A reload says which keys have to wait for a start; where discovery is need not.
+func TestWhatDiffersIsNamed(t *testing.T) {
+	env := func(string) string { return "" }
+	good := text(t)
+	a, err := parse([]byte(good), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := parse([]byte(strings.NewReplacer(`"discovery": "127`, `"discovery": "126`, `"maxOpen": 200`, `"maxOpen": 300`,
+		`"memory_mb": 192`, `"memory_mb": 64`).Replace(good)), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(a.Differs(b), " "); got != "limits.memory_mb settings.limits.maxOpen" {
+		t.Errorf("%q", got)
+	}
+	if a.Discovery == b.Discovery || len(a.Differs(a)) > 0 {
+		t.Errorf("%q %q %v", a.Discovery, b.Discovery, a.Differs(a))
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"peathollow/brain"
@@ -21,20 +22,32 @@
 	Pause time.Duration // after a failure, unless asked sooner
 }
 
-// Watcher asks one discovery service.
+// Watcher asks one discovery service at a time.
 type Watcher struct {
-	addr string
 	lim  Limits
-	tell func(brain.ListMode, proto.List)
 	kick chan struct{}
-	http *http.Client
-	at   int64
+
+	mu    sync.Mutex
+	addr  string
+	leave context.CancelFunc // ends what goes on at the address; nil before Run
 }
 
-// New makes a watcher that hands on what it is told, in order.
-func New(addr string, lim Limits, tell func(brain.ListMode, proto.List)) *Watcher {
-	tr := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}
-	return &Watcher{addr: addr, lim: lim, tell: tell, kick: make(chan struct{}, 1), http: &http.Client{Transport: tr}}
+// New makes a watcher; nothing is asked before Run.
+func New(addr string, lim Limits) *Watcher {
+	return &Watcher{addr: addr, lim: lim, kick: make(chan struct{}, 1)}
+}
+
+// Move makes it follow the service at another address. A call in hand is dropped, not waited for: the old service
+// may hang, and what the new one has to tell is due soon after the word to move.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	if w.addr = addr; w.leave != nil {
+		w.leave()
+	}
 }
 
 // Ask cuts a pause short.
@@ -47,28 +60,51 @@
 
 var errOld = errors.New("an older version than before")
 
-// Run follows the list until the context ends.
-func (w *Watcher) Run(ctx context.Context) {
-	defer w.http.CloseIdleConnections()
+// Run follows the list until the context ends and hands on what it is told, in order.
+func (w *Watcher) Run(ctx context.Context, tell func(brain.ListMode, proto.List)) {
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		w.mu.Lock()
+		addr := w.addr
+		w.leave = leave
+		w.mu.Unlock()
+		w.follow(here, addr, tell)
+		leave()
+	}
+}
+
+// watch is what holds for one address only: its connection, and the version last told there.
+type watch struct {
+	addr string
+	lim  Limits
+	http http.Client
+	at   int64
+}
+
+// follow starts with the whole list: versions of one service owe nothing to those of another.
+func (w *Watcher) follow(ctx context.Context, addr string, tell func(brain.ListMode, proto.List)) {
+	tr := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	defer tr.CloseIdleConnections()
+	at := watch{addr: addr, lim: w.lim, http: http.Client{Transport: tr}}
 	for whole := true; ctx.Err() == nil; {
-		l, err := w.next(ctx, whole)
+		l, err := at.next(ctx, whole)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			// Only a version that went back makes the list held worthless; a silent service does not.
 			whole = whole || errors.Is(err, errOld)
-			w.tell(brain.Failed, proto.List{})
+			tell(brain.Failed, proto.List{})
 			w.rest(ctx)
 			continue
 		}
 		whole = false
-		w.at = l.Version
+		at.at = l.Version
 		switch {
 		case l.Whole:
-			w.tell(brain.Whole, l)
+			tell(brain.Whole, l)
 		case len(l.Hosts) > 0:
-			w.tell(brain.Changes, l)
+			tell(brain.Changes, l)
 		}
 	}
 }
@@ -87,7 +123,7 @@
 	}
 }
 
-func (w *Watcher) next(ctx context.Context, whole bool) (l proto.List, err error) {
+func (w *watch) next(ctx context.Context, whole bool) (l proto.List, err error) {
 	defer func() {
 		if e := recover(); e != nil {
 			err = fmt.Errorf("discovery: panic: %v", e)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -22,10 +22,13 @@
 		t.Fatal(err)
 	}
 	heard := make(chan told, 100)
-	w := New(d.Addr(), lim, func(m brain.ListMode, l proto.List) { heard <- told{m, l} })
+	w := New(d.Addr(), lim)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { w.Run(ctx); close(ended) }()
+	go func() {
+		w.Run(ctx, func(m brain.ListMode, l proto.List) { heard <- told{m, l} })
+		close(ended)
+	}()
 	t.Cleanup(func() { stop(); <-ended; d.Close() })
 	return d, w, func() told {
 		select {
@@ -90,3 +93,31 @@
 	for x := next(); x.mode != brain.Changes && (x.mode != brain.Whole || len(x.list.Hosts) != 1); x = next() {
 	}
 }
+
+// A move is not held up by a call that hangs at the old address, and starts with the whole list of the new one,
+// whose versions owe nothing to the old one's. Against following a service that has been taken away.
+func TestAMoveStartsAnew(t *testing.T) {
+	d, w, next := follow(t, Limits{Body: 1 << 20, Call: time.Hour, Wait: time.Hour, Pause: time.Hour})
+	for range 5 {
+		d.Tell(standin.Host{Host: "a", Dial: "127.0.0.1:1", Health: "up"})
+	}
+	for x := next(); x.list.Version < 6; x = next() {
+	}
+	for _, silent := range []bool{false, true} {
+		d.Silence(silent)
+		to, err := standin.NewDiscovery("127.0.0.1:0", []standin.Host{{Host: "b", Dial: "127.0.0.1:2", Health: "up"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer to.Close()
+		w.Move(to.Addr())
+		if x := next(); x.mode != brain.Whole || x.list.Version != 1 || x.list.Hosts[0].Name != "b" {
+			t.Errorf("%+v", x)
+		}
+		to.Tell(standin.Host{Host: "c", Dial: "127.0.0.1:3", Health: "up"})
+		if x := next(); x.mode != brain.Changes || x.list.Hosts[0].Name != "c" {
+			t.Errorf("%+v", x)
+		}
+		d = to
+	}
+}
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -36,6 +36,7 @@
 	cfg      Config
 	lim      Limits
 	log      *zap.Logger
+	watch    *discovery.Watcher
 	ready    atomic.Bool
 	stopping atomic.Bool
 }
@@ -50,7 +51,7 @@
 	log = log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, time.Second, lim.LogFirst, lim.LogThereafter)
 	}))
-	return &Mixer{cfg: c, lim: lim, log: log}, nil
+	return &Mixer{cfg: c, lim: lim, log: log, watch: discovery.New(c.Discovery, lim.Discovery)}, nil
 }
 
 // Confine sets the process's own bounds from the limits; a program that embeds a mixer may set its own.
@@ -71,16 +72,15 @@
 // Serve is Run on a listener that the caller opened; it closes it.
 func (m *Mixer) Serve(ctx context.Context, ln net.Listener) error {
 	links, closeLinks := context.WithCancel(context.Background())
-	var watch *discovery.Watcher
-	o := newOwner(links, &m.cfg, m.lim, m.log, func() { watch.Ask() })
+	o := newOwner(links, &m.cfg, m.lim, m.log, m.watch.Ask)
 	first := make(chan struct{})
 	var once sync.Once
-	watch = discovery.New(m.cfg.Discovery, m.lim.Discovery, func(mode brain.ListMode, l proto.List) {
+	told := func(mode brain.ListMode, l proto.List) {
 		o.post(func() { o.list(mode, l) })
 		if mode != brain.Failed {
 			o.post(func() { once.Do(func() { close(first) }) })
 		}
-	})
+	}
 	o.list(brain.Remembered, m.cfg.Known)
 	o.sweep()
 	o.report()
@@ -88,7 +88,7 @@
 	done := make(chan struct{})
 	var all sync.WaitGroup
 	all.Go(func() { o.run(done) })
-	all.Go(func() { watch.Run(links) })
+	all.Go(func() { m.watch.Run(links, told) })
 	defer all.Wait()
 	defer close(done)
 	defer closeLinks()
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -11,6 +11,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -522,6 +523,46 @@
 	}
 }
 
+// SIGHUP: discovery moves to the address in the new file while scans go on; a file that can't be used changes nothing.
+func TestReloadMovesDiscovery(t *testing.T) {
+	w := start(t, 4, sound, nil)
+	defer w.close()
+	to, err := standin.NewDiscovery("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Close()
+	for i := range w.fleet.Searchers {
+		to.Tell(w.fleet.Host(i, "draining"))
+	}
+	good := string(w.fleet.Config(nil))
+	again, read := make(chan os.Signal), make(chan string, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go w.mix.Follow(ctx, again, func() (Config, error) {
+		return Load(func(string) string { return "here" }, func(string) ([]byte, error) { return []byte(<-read), nil })
+	})
+	for _, text := range []string{"no json", strings.Replace(good, w.fleet.Discovery.Addr(), "nowhere", 1), good} {
+		again <- syscall.SIGHUP
+		read <- text
+		if g, err := w.ask(fmt.Sprint("before", len(text)), "narrow", "500m", body(1, 2)); err != nil || g.status != 200 {
+			t.Errorf("%+v %v", g, err)
+		}
+	}
+	again <- syscall.SIGHUP
+	read <- strings.Replace(good, w.fleet.Discovery.Addr(), to.Addr(), 1)
+	w.fleet.Discovery.Silence(true)
+	for i := 0; ; i++ { // all drain in the new list: nothing new goes there
+		g, err := w.ask(fmt.Sprint("after", i), "narrow", "500m", body(1, 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if g.status == 503 {
+			break
+		}
+	}
+}
+
 // A panic in a step answers all that is in hand and ends nothing else.
 func TestAPanicIsAnswered(t *testing.T) {
 	o := newOwner(context.Background(), &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
