After SIGTERM clients' connections are served until the shortest timeout is left

A trace of each answer and of each client connection showed that nothing that reached a mixer failed; n1 told its clients to go 0.0 s after SIGTERM, while n0 got its first request 0.85 s after its /ready said 200. Ruled out: requests cut off (none), a slow start of the list (1 ms), abandoned scans (none). At fault: mixer/mixer.go finish and takeIn.front, which closed connections from the signal on.

--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -28,7 +28,7 @@
 	ClientIdle    time.Duration
 	LaneIdle      time.Duration // ahead of the time after which a searcher closes
 	Slack         time.Duration // past a scan's time, in which an answer still counts
-	StopAccept    time.Duration // after SIGTERM: how long new connections keep coming
+	StopTell      time.Duration // after SIGTERM: from when on clients are told to go, and nothing new is accepted
 	StopFinish    time.Duration // after SIGTERM: by when all must be answered
 	ReadyWait     time.Duration // for discovery's first word, when a list is known
 	Link          link.Limits
@@ -46,14 +46,17 @@
 	killCut   = 3 * time.Second
 	killExtra = 700 * time.Millisecond
 	stopSpare = 300 * time.Millisecond
+	// So long new connections keep coming after SIGTERM, at the least.
+	stopAccept = 500 * time.Millisecond
 )
 
 func newLimits(c config.Config) Limits {
 	set := &c.Settings
-	longest := time.Duration(0)
+	longest, shortest := time.Duration(0), killCut
 	for _, t := range set.Brain.Types {
-		longest = max(longest, t.Timeout)
+		longest, shortest = max(longest, t.Timeout), min(shortest, t.Timeout)
 	}
+	stop := min(longest, killCut) + killExtra - stopSpare
 	sockets := c.Sockets - otherSockets
 	gather := time.Duration(0)
 	if set.Brain.PartsPerCall > 1 {
@@ -67,7 +70,9 @@
 		Processors: int(math.Ceil(c.Cores)), Memory: int64(c.MemoryMB) << 20 / 4 * 3,
 		ClientRead: longest, ClientWrite: 2 * longest, ClientIdle: 10 * time.Minute,
 		LaneIdle: set.Idle / 5 * 4, Slack: set.Slack,
-		StopAccept: 500 * time.Millisecond, StopFinish: min(longest, killCut) + killExtra - stopSpare,
+		// Who comes last still has the shortest query timeout. Clients whose front has nobody else to lead them to,
+		// as when one mixer after another is restarted, are served on the connections they have till then.
+		StopTell: max(stopAccept, stop-shortest), StopFinish: stop,
 		ReadyWait: 500 * time.Millisecond,
 		Link:      link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect},
 		Discovery: discovery.Limits{Body: 8 << 20, Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -38,7 +38,8 @@
 	log      *zap.Logger
 	watch    *discovery.Watcher
 	ready    atomic.Bool
-	stopping atomic.Bool
+	stopping atomic.Bool // /ready says so, all else goes on
+	leaving  atomic.Bool // clients are told to go
 }
 
 // New makes a mixer; nothing is opened before Run.
@@ -93,7 +94,7 @@
 	defer close(done)
 	defer closeLinks()
 
-	t := &takeIn{o: o, lim: &m.lim, log: m.log, stopping: m.stopping.Load}
+	t := &takeIn{o: o, lim: &m.lim, log: m.log, leaving: m.leaving.Load}
 	gate := newGate(ln, m.lim.Clients)
 	srv := &http.Server{Handler: m.routes(t.front()), ConnState: gate.state, ReadTimeout: m.lim.ClientRead,
 		WriteTimeout: m.lim.ClientWrite, MaxHeaderBytes: m.lim.Body, IdleTimeout: m.lim.ClientIdle, ErrorLog: zap.NewStdLog(m.log)}
@@ -143,8 +144,9 @@
 	m.stopping.Store(true)
 	m.log.Info("stopping")
 	o.post(func() { o.stop(m.lim.StopFinish) })
-	time.Sleep(m.lim.StopAccept)
-	ctx, cancel := context.WithTimeout(context.Background(), m.lim.StopFinish-m.lim.StopAccept+m.lim.Slack)
+	time.Sleep(m.lim.StopTell)
+	m.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), m.lim.StopFinish-m.lim.StopTell+m.lim.Slack)
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
 		// By now every scan is answered: what is left are connections that never sent a whole request.
--- a/mixer/takein.go
+++ b/mixer/takein.go
@@ -36,10 +36,10 @@
 
 // takeIn is the transport behind the reverse proxy.
 type takeIn struct {
-	o        *owner
-	lim      *Limits
-	log      *zap.Logger
-	stopping func() bool
+	o       *owner
+	lim     *Limits
+	log     *zap.Logger
+	leaving func() bool
 }
 
 // front is the handler of all that is not /ready.
@@ -51,7 +51,7 @@
 		Transport: t,
 		// Hop-by-hop headers are gone by now, so this one is set where it stays.
 		ModifyResponse: func(res *http.Response) error {
-			if t.stopping() {
+			if t.leaving() {
 				res.Header.Set("Connection", "close")
 			}
 			return nil
