Doors for clients and searchers check what comes in, and places of gone searchers go round

Found by reading (mixer/gate.go, internal/proto/query.go, internal/link, mixer/relay.go, mixer/route.go) and confirmed by tests that fail without the change: silent connections were not among those that make room; a head with both lengths was served as chunked and what lay behind it too; weights were not summed; a keyed class went without its key; noise read as a plausible length left a connection that looked sound and swallowed every part; an answer with an unknown id passed for a late one; the tables of searchers only grew.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -112,8 +112,7 @@
 // ListEntry tells of one searcher.
 func (m *Mixer) ListEntry(i int, st Standing, weight float64, started time.Duration, cell int) {
 	for len(m.srvs) <= i {
-		m.srvs = append(m.srvs, srv{call: -1, state: Gone, started: LongAgo, back: LongAgo, used: LongAgo,
-			cold: bucket{at: m.now, level: m.dice.roll(0)}})
+		m.srvs = append(m.srvs, m.unknown())
 	}
 	s := &m.srvs[i]
 	if s.started != started || (s.state == Gone && st == Ready) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -158,3 +158,12 @@
 	quota                             []float64
 	tenants                           []bucket
 }
+
+// unknown is a searcher of which nothing is known.
+func (m *Mixer) unknown() srv {
+	return srv{call: -1, state: Gone, started: LongAgo, back: LongAgo, used: LongAgo,
+		cold: bucket{at: m.now, level: m.dice.roll(0)}}
+}
+
+// Forget gives back the index of a searcher that is gone and has nothing out: it may be another's next.
+func (m *Mixer) Forget(i int) { m.srvs[i] = m.unknown() }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,12 +21,14 @@
 	Queue   int           // frames that wait to be written
 	Connect time.Duration // for a connection to come up
 	Write   time.Duration // for the searcher to take what is written
+	Rest    time.Duration // for a frame from a searcher that has begun
+	Keep    int           // bytes of a buffer that are kept for the next frame
 }
 
 // Events are told from the connection's own goroutines. Closed comes once, after all else.
 type Events interface {
-	Answered(c *Conn, a proto.Answer)
-	Told(c *Conn, seqs []uint64) // these frames, which give up a part each, were written together
+	Answered(c *Conn, a proto.Answer, more bool) // more: there are bytes right behind
+	Told(c *Conn, seqs []uint64)                 // these frames, which give up a part each, were written together
 	Closed(c *Conn, why error)
 }
 
@@ -114,7 +116,10 @@
 }
 
 // Close ends the connection; Closed follows.
-func (c *Conn) Close() { c.stop(errShut) }
+func (c *Conn) Close() { c.Fail(errShut) }
+
+// Fail ends it for a reason.
+func (c *Conn) Fail(why error) { c.stop(why) }
 
 func (c *Conn) run(ctx context.Context) {
 	err := guard(func() error { return c.serve(ctx) })
@@ -217,23 +222,42 @@
 	r := bufio.NewReaderSize(nc, 4096)
 	var buf, rest []byte
 	for {
+		if _, err := r.Peek(1); err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		// Noise that reads as a length would swallow all answers to come and look like a silent searcher: a frame
+		// that has begun ends soon. Most come whole, and need no clock.
+		part := !proto.HoldsFrame(r)
+		if part {
+			if err := nc.SetReadDeadline(time.Now().Add(c.lim.Rest)); err != nil {
+				return err
+			}
+		}
 		var letter byte
 		var err error
 		if letter, rest, buf, err = proto.ReadFrame(r, buf, c.lim.Frame); err != nil {
 			return fmt.Errorf("read: %w", err)
 		}
+		if part {
+			if err := nc.SetReadDeadline(time.Time{}); err != nil {
+				return err
+			}
+		}
 		switch letter {
 		case proto.LetterAnswer:
 			a, err := proto.ReadAnswer(rest)
 			if err != nil {
 				return err
 			}
-			c.ev.Answered(c, a)
+			c.ev.Answered(c, a, r.Buffered() > 0)
 		case proto.LetterEnd:
 			return fmt.Errorf("%w: %.100q", errFrame, rest)
 		case proto.LetterProbe, proto.LetterLoad:
 		default:
 			return fmt.Errorf("frame with letter %q", letter)
 		}
+		if cap(buf) > c.lim.Keep {
+			buf = nil
+		}
 	}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,9 +19,9 @@
 	closed  chan error
 }
 
-func (h heard) Answered(_ *Conn, a proto.Answer) { h.answers <- a }
-func (h heard) Told(_ *Conn, seqs []uint64)      { h.told <- seqs }
-func (h heard) Closed(_ *Conn, why error)        { h.closed <- why }
+func (h heard) Answered(_ *Conn, a proto.Answer, _ bool) { h.answers <- a }
+func (h heard) Told(_ *Conn, seqs []uint64)              { h.told <- seqs }
+func (h heard) Closed(_ *Conn, why error)                { h.closed <- why }
 
 func open(t *testing.T, addr string, lim Limits) (*Conn, heard) {
 	h := heard{make(chan proto.Answer, 99), make(chan []uint64, 99), make(chan error, 1)}
@@ -30,7 +31,7 @@
 	return c, h
 }
 
-var usual = Limits{Frame: 1 << 10, Queue: 10, Connect: 5 * time.Second, Write: 5 * time.Second}
+var usual = Limits{Frame: 1 << 10, Queue: 10, Connect: 5 * time.Second, Write: 5 * time.Second, Rest: 5 * time.Second}
 
 func call(id string) []proto.Call {
 	return []proto.Call{{ID: id, Until: time.Now().Add(time.Second), Text: "x"}}
@@ -119,3 +120,40 @@
 		t.Errorf("%d answers", len(h.answers))
 	}
 }
+
+// Noise that reads as the length of a long frame must not swallow what else is due on a connection that looks sound:
+// a frame that has begun ends soon. One that has not begun may take as long as it likes.
+func TestAFrameThatNeverEnds(t *testing.T) {
+	for _, noise := range []string{"\x10", "\x10\x00\x00\x00", "\xf0\x01\x00\x00Oa 200 7 -\nvalue and no more"} {
+		s := searcher(t, func(proto.Call) standin.Reply { return standin.Reply{Junk: []byte(noise)} })
+		lim := usual
+		lim.Rest = 30 * time.Millisecond
+		c, h := open(t, s.Addr(), lim)
+		seq, _ := c.Send(call("a"))
+		if err := <-h.closed; !errors.Is(err, os.ErrDeadlineExceeded) || !c.Ran(seq) || len(h.answers) > 0 {
+			t.Errorf("%q: %v", noise, err)
+		}
+	}
+	s := searcher(t, func(c proto.Call) standin.Reply { return standin.Reply{End: 200, After: 100 * time.Millisecond} })
+	lim := usual
+	lim.Rest = time.Nanosecond
+	c, h := open(t, s.Addr(), lim)
+	c.Send(call("slow"))
+	select {
+	case <-h.answers:
+	case err := <-h.closed:
+		t.Error(err)
+	}
+}
+
+// A frame that claims gigabytes costs none, and ends its connection at once.
+func TestAFrameOfThreeGigabytes(t *testing.T) {
+	s := searcher(t, func(proto.Call) standin.Reply {
+		return standin.Reply{Junk: append([]byte("\x00\x00\x00\xc0Oa 200 7 -\n"), make([]byte, 1<<20)...)}
+	})
+	c, h := open(t, s.Addr(), usual)
+	c.Send(call("a"))
+	if err := <-h.closed; err == nil || !strings.Contains(err.Error(), "frame of 3221225472 bytes") {
+		t.Error(err)
+	}
+}
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -1,13 +1,16 @@
 package proto
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"peathollow/brain"
 )
@@ -99,6 +102,15 @@
 	return buf[0], buf[1:], buf, nil
 }
 
+// HoldsFrame tells whether a reader holds a whole frame already.
+func HoldsFrame(r *bufio.Reader) bool {
+	if r.Buffered() < 4 {
+		return false
+	}
+	head, err := r.Peek(4)
+	return err == nil && uint64(r.Buffered()) >= 4+uint64(binary.LittleEndian.Uint32(head))
+}
+
 // Answer is a searcher's word on one part.
 type Answer struct {
 	ID    string
@@ -125,10 +137,16 @@
 	if !ok {
 		return Answer{}, errAnswer
 	}
-	a := Answer{ID: string(f[0]), End: end, Value: string(value)}
+	a := Answer{ID: string(f[0]), End: end}
 	if string(f[2]) != "-" {
 		var err error
-		if a.Score, err = strconv.ParseFloat(string(f[2]), 64); err != nil || a.Score != a.Score {
+		if a.Score, err = strconv.ParseFloat(string(f[2]), 64); err != nil || math.IsNaN(a.Score) || math.IsInf(a.Score, 0) {
+			return Answer{}, errAnswer
+		}
+	}
+	// Text that is none would reach the client as something else than the searcher's value.
+	if end == brain.Pass {
+		if a.Value = string(value); !utf8.ValidString(a.Value) {
 			return Answer{}, errAnswer
 		}
 	}
--- a/internal/proto/proto_test.go
+++ b/internal/proto/proto_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,14 +36,16 @@
 func TestAnswersAsSearchersGiveThem(t *testing.T) {
 	for text, want := range map[string]Answer{
 		"9b1f.3 200 1840277719 inflight=7,util=0.61\n5be2": {ID: "9b1f.3", End: brain.Pass, Score: 1840277719, Value: "5be2"},
-		"9b1f.3 503 0 -\n": {ID: "9b1f.3", End: brain.NoRoom},
-		"9b1f.3 500 - -\n": {ID: "9b1f.3", End: brain.Fault},
+		"9b1f.3 200 7 \xff\xfe =,\x00\n5be2":               {ID: "9b1f.3", End: brain.Pass, Score: 7, Value: "5be2"}, // nobody needs the report
+		"9b1f.3 503 0 -\n":                                 {ID: "9b1f.3", End: brain.NoRoom},
+		"9b1f.3 500 - -\n":                                 {ID: "9b1f.3", End: brain.Fault},
 	} {
 		if got, err := ReadAnswer([]byte(text)); err != nil || got != want {
 			t.Errorf("%q: %+v %v", text, got, err)
 		}
 	}
-	for _, text := range []string{"", "9b1f.3 200 1 -", "9b1f.3 201 1 -\n", "9b1f.3 200 x -\n", " 200 1 -\n", "9b1f.3 200 NaN -\n"} {
+	for _, text := range []string{"", "9b1f.3 200 1 -", "9b1f.3 201 1 -\n", "9b1f.3 200 x -\n", " 200 1 -\n", "9b1f.3 200 NaN -\n",
+		"9b1f.3 200 Inf -\n", "9b1f.3 200 7 -\n\xff\xfe"} {
 		if got, err := ReadAnswer([]byte(text)); err == nil {
 			t.Errorf("%q: %+v", text, got)
 		}
@@ -63,10 +66,10 @@
 }
 
 func TestAQueryAsClientsSendIt(t *testing.T) {
-	body := `{"parts":[{"id":3,"w":0.25,"hint":9000,"tag":"00"},{"id":9}],"expr":"c41e"}`
+	body := `{"parts":[{"id":3,"w":0.25,"hint":9000,"tag":"00"},{"id":9,"w":0.75}],"expr":"c41e"}`
 	got, err := ReadQuery(request("checkout/more", "9b1f", "480500u"), []byte(body))
 	want := Query{ID: "9b1f", Class: "checkout", Tenant: "acme", Key: "5c0f", Wait: 480500 * time.Microsecond, Retry: true,
-		Parts: []Part{{3, 0.25, 9 * time.Millisecond}, {9, 0.5, 0}}, Text: "c41e"}
+		Parts: []Part{{3, 0.25, 9 * time.Millisecond}, {9, 0.75, 0}}, Text: "c41e"}
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v %v", got, err)
 	}
@@ -78,6 +81,41 @@
 	}
 }
 
+// What can't be served honestly is told so at the door, with the field at fault.
+func TestAQueryThatCannotBe(t *testing.T) {
+	good := `{"parts":[{"id":3,"w":0.25},{"id":9,"w":0.75}],"expr":"x"}`
+	for _, c := range []struct{ wait, body, want string }{
+		{"480m", `{"parts":[{"id":3,"w":0.25},{"id":9,"w":0.7}],"expr":"x"}`, "add up"},
+		{"480m", `{"parts":[{"id":3,"w":0.5},{"id":9}],"expr":"x"}`, "weights of 1 of 2"},
+		{"480m", `{"parts":[{"id":3,"w":-0.5},{"id":9,"w":1.5}],"expr":"x"}`, "weight -0.5"},
+		{"480m", `{"parts":[{"id":3,"w":1e-9}],"expr":"x"}`, "add up"},
+		{"480m", good + "x", "body"},
+		{"480m", good[1:], "body"},
+		{"Infm", good, "Req-Deadline"},
+		{"NaNm", good, "Req-Deadline"},
+		{"0x1p4m", good, "Req-Deadline"},
+		{"4_80m", good, "Req-Deadline"},
+		{"480", good, "Req-Deadline"},
+		{"480m,5m", good, "Req-Deadline"},
+	} {
+		if q, err := ReadQuery(request("c", "a", c.wait), []byte(c.body)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s %s: %+v %v", c.wait, c.body, q, err)
+		}
+	}
+	r := request("c", "a", "480m")
+	r.Header["Req-Deadline"] = []string{"480m", "5m"}
+	if _, err := ReadQuery(r, []byte(good)); err == nil || !strings.Contains(err.Error(), "Req-Deadline: comes twice") {
+		t.Error(err)
+	}
+	// Weights may be rounded, and left out together.
+	for _, body := range []string{`{"parts":[{"id":3,"w":0.3333},{"id":9,"w":0.3333},{"id":1,"w":0.3333}],"expr":"x"}`,
+		`{"parts":[{"id":3},{"id":9}],"expr":"x"}`} {
+		if _, err := ReadQuery(request("c", "a", "480m"), []byte(body)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestAListAsDiscoveryGivesIt(t *testing.T) {
 	got, err := ReadList([]byte(`{"seq":43,"whole":false,"hosts":[{"host":"s-5b","dial":"10.1.0.18:3000","site":"a",
 		"class":"m2","block":3,"health":"draining","share":0.5,"born_ms":1796129758000},{"host":"s-6","health":"removed"}]}`))
--- a/internal/proto/query.go
+++ b/internal/proto/query.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +40,9 @@
 	Rows  []Row `json:"rows"`
 }
 
+// sumSpare is what weights may miss one by: a hundred parts, each rounded to the fourth digit.
+const sumSpare = 0.005
+
 // ReadQuery decodes a request's head and body.
 func ReadQuery(r *http.Request, body []byte) (Query, error) {
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -47,6 +51,11 @@
 	if err := word("Req-Id", q.ID); err != nil {
 		return q, err
 	}
+	for _, name := range []string{"Req-Id", "Req-Owner", "Req-Deadline", "Idempotency-Key"} {
+		if len(r.Header.Values(name)) > 1 {
+			return q, fmt.Errorf("%s: comes twice", name)
+		}
+	}
 	if q.Key != "" {
 		if err := word("Idempotency-Key", q.Key); err != nil {
 			return q, err
@@ -75,6 +84,7 @@
 		return q, errors.New("body: no parts")
 	}
 	q.Parts = make([]Part, len(raw.Parts))
+	sum, told := 0.0, 0
 	for i, p := range raw.Parts {
 		if p.ID == nil || *p.ID < 0 {
 			return q, fmt.Errorf("body: part %d has no id", i)
@@ -86,7 +96,13 @@
 				return q, fmt.Errorf("body: part %d has weight %v", i, *p.W)
 			}
 			q.Parts[i].Weight = *p.W
+			told++
 		}
+		sum += q.Parts[i].Weight
+	}
+	// Shares of one whole: what is in is judged by them, so an answer could not be honest with any others.
+	if told > 0 && told < len(q.Parts) || math.Abs(sum-1) > sumSpare {
+		return q, fmt.Errorf("body: weights of %d of %d parts add up to %v, not to 1", told, len(q.Parts), sum)
 	}
 	return q, nil
 }
@@ -112,7 +128,8 @@
 		n, ok = strings.CutSuffix(s, "u")
 	}
 	x, err := strconv.ParseFloat(n, 64)
-	if !ok || err != nil || !(x >= -1e9 && x <= 1e12) {
+	// ParseFloat alone takes more than a number followed by a unit: names, hexadecimal figures, underscores.
+	if !ok || err != nil || strings.Trim(n, "-.0123456789") != "" || !(x >= -1e9 && x <= 1e12) {
 		return 0, fmt.Errorf("Req-Deadline: unreadable: %.40q", s)
 	}
 	return time.Duration(x * float64(unit)), nil
--- a/mixer/admit.go
+++ b/mixer/admit.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"peathollow/brain"
 )
 
 // The second stage: a scan that fits the settings and the open count goes to the module.
@@ -50,6 +52,9 @@
 	if !ok {
 		return 0, fmt.Errorf("path: unknown class %.60q", s.q.Class)
 	}
+	if o.set.Brain.Types[ty].Effect == brain.Keyed && s.q.Key == "" {
+		return 0, fmt.Errorf("Idempotency-Key: missing")
+	}
 	if _, ok := o.book.byReq[s.q.ID]; ok {
 		return 0, fmt.Errorf("Req-Id: %.60q is in hand already", s.q.ID)
 	}
--- a/mixer/book.go
+++ b/mixer/book.go
@@ -59,6 +59,7 @@
 }
 
 type try struct {
+	srv   *searcher
 	lane  *lane // nil till it is sent
 	seq   uint64
 	at    time.Duration
@@ -152,9 +153,10 @@
 	}
 	t.out = false
 	p.live--
+	t.srv.live--
 	o.book.tally.parts[end]++
 	if l := t.lane; l != nil {
-		l.drop(p, no, o.now)
+		l.drop(p, no, end == brain.Undone || end == brain.TooSlow, o.now)
 	}
 	o.m.Returned(p.id, no, end, o.now-t.at)
 	o.book.forget(p)
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -13,17 +13,23 @@
 // mixer is told and handed down; none of them chooses what becomes of a scan.
 type Limits struct {
 	Body          int // bytes of a request's body
+	Copy          int // bytes of an answer copied at once
 	Clients       int // client connections; idle ones are closed to stay within
 	Lanes         int // connections to all searchers together
 	PerSearcher   int // connections to one searcher
 	Parts         int // parts that one connection carries at once
+	Past          int // parts no longer out whose answers a connection still knows
 	Open          int // scans and parts held
 	Events        int // events on their way to the module's goroutine
 	Batch         int // events that share one clock reading
 	Processors    int
 	Memory        int64
 	Gather        time.Duration // between batches, where parts of one batch share calls
+	Head          int           // bytes of a request's head
+	ClientHead    time.Duration // for a request's head to come in whole, from connecting or its first byte
 	ClientRead    time.Duration // for a request to come in whole
+	ClientYoung   time.Duration // so long a connection that has sent no request is not the first to make room
+	ClientSpare   time.Duration // nor one that lies idle
 	ClientWrite   time.Duration // for an answer to be taken
 	ClientIdle    time.Duration
 	LaneIdle      time.Duration // ahead of the time after which a searcher closes
@@ -64,17 +70,20 @@
 	}
 	return Limits{
 		Gather: gather,
-		Body:   64 << 10, Clients: sockets / 2, Lanes: sockets / 2,
-		PerSearcher: (set.OpenMost + set.Streams - 1) / set.Streams, Parts: set.Streams, Open: set.OpenMost,
+		Body:   64 << 10, Copy: 4 << 10, Clients: sockets / 2, Lanes: sockets / 2,
+		PerSearcher: (set.OpenMost + set.Streams - 1) / set.Streams, Parts: set.Streams, Past: 2 * set.Streams, Open: set.OpenMost,
 		Events: 1024, Batch: 256,
 		Processors: int(math.Ceil(c.Cores)), Memory: int64(c.MemoryMB) << 20 / 4 * 3,
-		ClientRead: longest, ClientWrite: 2 * longest, ClientIdle: 10 * time.Minute,
-		LaneIdle: set.Idle / 5 * 4, Slack: set.Slack,
+		// Whoever connects is to hear something within three seconds, silent ones too.
+		Head: 16 << 10, ClientHead: 2 * time.Second, ClientRead: 2500 * time.Millisecond,
+		ClientYoung: 100 * time.Millisecond, ClientSpare: 2 * time.Second, ClientIdle: 15 * time.Second,
+		ClientWrite: max(2*longest, 5*time.Second),
+		LaneIdle:    set.Idle / 5 * 4, Slack: set.Slack,
 		// Who comes last still has the shortest query timeout. Clients whose front has nobody else to lead them to,
 		// as when one mixer after another is restarted, are served on the connections they have till then.
 		StopTell: max(stopAccept, stop-shortest), StopFinish: stop,
 		ReadyWait: 500 * time.Millisecond,
-		Link:      link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect},
+		Link:      link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect, Rest: set.Connect / 2, Keep: 4 << 10},
 		Discovery: discovery.Limits{Body: 8 << 20, Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
 			Pause: time.Second},
 		LogEvery: 10 * time.Second, LogFirst: 5, LogThereafter: 100,
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -95,9 +95,11 @@
 	defer closeLinks()
 
 	t := &takeIn{o: o, lim: &m.lim, log: m.log, leaving: m.leaving.Load}
-	gate := newGate(ln, m.lim.Clients)
-	srv := &http.Server{Handler: m.routes(t.front()), ConnState: gate.state, ReadTimeout: m.lim.ClientRead,
-		WriteTimeout: m.lim.ClientWrite, MaxHeaderBytes: m.lim.Body, IdleTimeout: m.lim.ClientIdle, ErrorLog: zap.NewStdLog(m.log)}
+	gate := newGate(ln, &m.lim)
+	srv := &http.Server{Handler: m.routes(gate, t.front()), ConnState: gate.state, ConnContext: withClient,
+		ReadHeaderTimeout: m.lim.ClientHead, ReadTimeout: m.lim.ClientRead, WriteTimeout: m.lim.ClientWrite,
+		IdleTimeout: m.lim.ClientIdle, MaxHeaderBytes: m.lim.Head, ErrorLog: zap.NewStdLog(m.log),
+		DisableGeneralOptionsHandler: true} // each request must pass the gate, see heads
 	failed := make(chan error, 1)
 	all.Go(func() { failed <- srv.Serve(gate) })
 	all.Go(func() { m.whenReady(links, first) })
@@ -127,8 +129,13 @@
 	m.log.Info("ready", zap.String("name", m.cfg.Name), zap.String("listen", m.cfg.Listen))
 }
 
-func (m *Mixer) routes(front http.Handler) http.Handler {
+func (m *Mixer) routes(gate *gate, front http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := gate.pass(r); err != nil {
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
 		if r.Method != http.MethodGet || r.URL.Path != "/ready" {
 			front.ServeHTTP(w, r)
 			return
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -327,6 +327,93 @@
 	}
 }
 
+// raw sends bytes as they are and gives the statuses of the answers till the mixer closes.
+func (w *world) raw(text string) (statuses []int) {
+	c, err := net.Dial("tcp", w.base)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		w.t.Fatal(err)
+	}
+	for r := bufio.NewReader(c); ; {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return statuses
+		}
+		io.Copy(io.Discard, res.Body)
+		if statuses = append(statuses, res.StatusCode); res.Close {
+			return statuses
+		}
+	}
+}
+
+func head(id, more string) string {
+	return "POST /narrow HTTP/1.1\r\nHost: x\r\nReq-Id: " + id + "\r\nReq-Deadline: 500m\r\n" + more
+}
+
+// A head with two ways to tell the body's length is refused and its connection closed, however it is written: what
+// one reading takes for the body is a further request in the other, and would be passed on.
+func TestTwoLengthsAreRefused(t *testing.T) {
+	w := start(t, 4, sound, nil)
+	defer w.close()
+	sane := head("sane", "Content-Length: "+fmt.Sprint(len(body(1)))+"\r\n\r\n") + body(1)
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body(1)), body(1))
+	behind := head("hidden", "Content-Length: "+fmt.Sprint(len(body(1)))+"\r\nConnection: close\r\n\r\n") + body(1)
+	for i, both := range []string{
+		"Content-Length: 40\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 40\r\n",
+		"content-lengtH:40\r\ntransfer-ENCODING:\tchunked \r\n", "Transfer-Encoding: chunked\nContent-Length:   40\n",
+		"Transfer-Encoding:\r\n chunked\r\nContent-Length: 40\r\n", "Transfer-Encoding : chunked\r\nContent-Length: 40\r\n",
+		"Content-Length: 40\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n",
+		"Content-Length: 40\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+		"Content-Length: 40\r\nContent-Length: 41\r\n", "Content-Length: -1\r\n", "Content-Length: 4 0\r\n",
+	} {
+		for j, before := range []string{"", sane, head("chunks", "Transfer-Encoding: chunked\r\n\r\n") + chunks} {
+			got := w.raw(before + head(fmt.Sprint("both", i, j), both+"\r\n") + chunks + behind)
+			want := min(j, 1)
+			if len(got) != want+1 || got[want]/100 < 4 || want > 0 && got[0] != 200 {
+				t.Errorf("%q behind %.30q: %d", both, before, got)
+			}
+			w.mu.Lock()
+			if len(w.seen["hidden.1"]) > 0 || len(w.seen[fmt.Sprintf("both%d%d.1", i, j)]) > 0 {
+				t.Errorf("%q: passed on", both)
+			}
+			w.mu.Unlock()
+		}
+	}
+	if got := w.raw(sane + head("last", "Transfer-Encoding: chunked\r\n\r\n") + chunks + behind); fmt.Sprint(got) != "[200 200 200]" {
+		t.Errorf("requests one behind the other: %v", got)
+	}
+}
+
+// Clients that say nothing, or half a request, are sent away in time, and what is claimed to be long is not waited for.
+func TestClientsThatNeverAsk(t *testing.T) {
+	w := start(t, 4, sound, nil)
+	defer w.close()
+	var all sync.WaitGroup
+	for text, want := range map[string]string{
+		"":                                      "[]",
+		"POST /narrow HTT":                      "[400]",
+		head("a", "Content-Length: 99\r\n"):     "[]",
+		head("b", "Content-Length: 99\r\n\r\n"): "[502]",
+		head("c", "Content-Length: 60000000\r\n\r\nxx"):                     "[413]",
+		head("d", "X: "+strings.Repeat("x", 100<<10)):                       "[431]",
+		"\x16\x03\x01 noise\r\n\r\n":                                        "[400]",
+		head("e", "Content-Length: 18446744073709551617\r\n\r\n"):           "[400]",
+		head("f", "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"): "[502]",
+	} {
+		all.Go(func() {
+			at := time.Now()
+			if got := fmt.Sprint(w.raw(text)); got != want || time.Since(at) > 10*time.Second {
+				t.Errorf("%.60q: %s after %v", text, got, time.Since(at))
+			}
+		})
+	}
+	all.Wait()
+}
+
 // A client that leaves ends its scan: the parts it held count as free again.
 func TestAClientLeaves(t *testing.T) {
 	arrived := make(chan bool, 8)
@@ -410,7 +497,7 @@
 	o.flush()
 	pass := func(wire string) {
 		p := o.book.byWire[wire]
-		o.answered(p.tries[0].lane, proto.Answer{ID: wire, End: brain.Pass})
+		o.answered(p.tries[0].lane, proto.Answer{ID: wire, End: brain.Pass}, false)
 	}
 	for i, want := range []int{4, 3, 2} {
 		if pass(fmt.Sprintf("x.%d", i)); o.book.open != want {
@@ -624,7 +711,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := newGate(ln, 3)
+	g := newGate(ln, &Limits{Clients: 3, ClientYoung: time.Hour})
 	srv := &http.Server{ConnState: g.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {})}
 	go srv.Serve(g)
 	defer srv.Close()
@@ -640,13 +727,128 @@
 			t.Fatalf("connection %d: %v", i, err)
 		}
 		g.mu.Lock()
-		if g.n > 3 {
-			t.Errorf("%d held", g.n)
+		if n := len(g.conns); n > 3 {
+			t.Errorf("%d held", n)
 		}
 		g.mu.Unlock()
 	}
 }
 
+// Who makes room: the silent first, unless they have only just come, then the idle, and nobody with a request in hand.
+func TestWhoMakesRoom(t *testing.T) {
+	now := time.Now()
+	g := &gate{young: 100 * time.Millisecond, spare: 2 * time.Second, conns: map[*client]bool{}}
+	var order []string
+	names := map[*client]string{}
+	for _, c := range []struct {
+		name  string
+		state http.ConnState
+		age   time.Duration
+	}{{"busy", http.StateActive, time.Hour}, {"idle 3s", http.StateIdle, 3 * time.Second}, {"idle 1s", http.StateIdle, time.Second},
+		{"new 50ms", http.StateNew, 50 * time.Millisecond}, {"new 1s", http.StateNew, time.Second}, {"new 2s", http.StateNew, 2 * time.Second},
+		{"idle 9s", http.StateIdle, 9 * time.Second}} {
+		x := &client{state: c.state, since: now.Add(-c.age)}
+		g.conns[x], names[x] = true, c.name
+	}
+	for c := g.worst(now); c != nil; c = g.worst(now) {
+		order = append(order, names[c])
+		delete(g.conns, c)
+	}
+	if got := strings.Join(order, ", "); got != "new 2s, new 1s, idle 9s, idle 3s, idle 1s, new 50ms" {
+		t.Error(got)
+	}
+}
+
+// Searchers that are replaced all day under new names: places are used again, and the module starts them as new.
+func TestPlacesOfSearchersThatAreGone(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := newOwner(ctx, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
+	dice := rand.New(rand.NewSource(4))
+	addr := deaf(t)
+	for i := range 300 {
+		o.now += time.Second
+		o.m.At(o.now)
+		l := proto.List{Whole: dice.Intn(2) == 0}
+		for j := range 4 {
+			l.Hosts = append(l.Hosts, proto.Host{Name: fmt.Sprint(i+1, ".", j), Addr: addr, Cell: j, Weight: 1})
+			if !l.Whole {
+				l.Hosts = append(l.Hosts, proto.Host{Name: fmt.Sprint(i, ".", j), State: brain.Gone})
+			}
+		}
+		o.list(map[bool]brain.ListMode{false: brain.Changes, true: brain.Whole}[l.Whole], l)
+		s := &scan{q: proto.Query{ID: fmt.Sprint(i), Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+			reply: make(chan answer, 1)}
+		o.admit(s, time.Now())
+		if o.flush(); len(o.fleet.srvs) > 16 || len(o.fleet.byName) > 12 {
+			t.Fatalf("%d places, %d names after %d rounds", len(o.fleet.srvs), len(o.fleet.byName), i)
+		}
+		if o.fleet.lanes > 8 {
+			t.Fatalf("%d connections", o.fleet.lanes)
+		}
+		o.left(s)
+		for _, f := range o.later {
+			f()
+		}
+		o.later = nil
+		if dice.Intn(3) == 0 {
+			continue
+		}
+		for _, srv := range o.fleet.srvs {
+			for _, l := range srv.lanes {
+				l.conn.Close()
+			}
+		}
+		for o.fleet.lanes > 0 {
+			(<-o.events)()
+		}
+	}
+}
+
+// An answer that was never asked for on its connection ends that; late ones and second copies end nothing, and bytes
+// behind the last answer let it take nothing new.
+func TestAnswersOutOfStep(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := newOwner(ctx, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
+	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: deaf(t), Cell: 0, Weight: 1}, {Name: "b", Addr: deaf(t), Cell: 1, Weight: 1}}})
+	ask := func(id string) (*scan, *lane) {
+		s := &scan{q: proto.Query{ID: id, Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+			reply: make(chan answer, 1)}
+		o.admit(s, time.Now())
+		o.flush()
+		return s, s.parts[0].tries[0].lane
+	}
+	_, l := ask("x")
+	pass := proto.Answer{ID: "x.1", End: brain.Pass, Value: "v"}
+	o.answered(l, pass, false)
+	o.answered(l, pass, false)
+	if l.retired || len(l.out) > 0 {
+		t.Error("a second copy counts against the connection")
+	}
+	_, l = ask("y")
+	_, l2 := ask("z")
+	if l != l2 {
+		t.Fatal("two connections")
+	}
+	pass.ID = "y.1"
+	if o.answered(l, pass, true); l.retired {
+		t.Error("bytes behind an answer while another is due")
+	}
+	pass.ID = "z.1"
+	if o.answered(l, pass, true); !l.retired {
+		t.Error("bytes behind the last answer")
+	}
+	(<-o.events)()
+	s, l := ask("w")
+	pass.ID = "nobody.1"
+	o.answered(l, pass, false)
+	(<-o.events)()
+	if len(l.out) > 0 || o.fleet.lanes > 0 {
+		t.Errorf("still out: %v", s.parts)
+	}
+}
+
 func TestTimersAreOrdered(t *testing.T) {
 	dice := rand.New(rand.NewSource(3))
 	var q timers
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -129,6 +129,7 @@
 	o.book = newBook()
 	o.book.lastID = last
 	for _, s := range o.fleet.srvs {
+		s.live = 0
 		for _, l := range s.lanes {
 			clear(l.out)
 			l.retire()
@@ -156,9 +157,11 @@
 }
 
 // Answered, Told and Closed come from the connections' goroutines.
-func (l *lane) Answered(_ *link.Conn, a proto.Answer) { l.o.post(func() { l.o.answered(l, a) }) }
-func (l *lane) Told(_ *link.Conn, seqs []uint64)      { l.o.post(func() { l.o.givenUp(l, seqs) }) }
-func (l *lane) Closed(_ *link.Conn, why error)        { l.o.post(func() { l.o.closed(l, why) }) }
+func (l *lane) Answered(_ *link.Conn, a proto.Answer, more bool) {
+	l.o.post(func() { l.o.answered(l, a, more) })
+}
+func (l *lane) Told(_ *link.Conn, seqs []uint64) { l.o.post(func() { l.o.givenUp(l, seqs) }) }
+func (l *lane) Closed(_ *link.Conn, why error)   { l.o.post(func() { l.o.closed(l, why) }) }
 
 // timers is a heap of what is due, earliest first, in the order of setting where times are equal.
 type timers struct {
--- a/mixer/relay.go
+++ b/mixer/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -13,15 +14,20 @@
 
 // The fifth stage: what searchers say goes to the module, and what it settles becomes the client's answer.
 
-func (o *owner) answered(l *lane, a proto.Answer) {
+func (o *owner) answered(l *lane, a proto.Answer, more bool) {
 	p := o.book.byWire[a.ID]
-	if p == nil {
-		return // came late: the part is over and given up
-	}
 	no, ok := l.out[p]
 	if !ok {
+		// Late, or a second copy; or it was never asked here, and nothing on this connection can be trusted.
+		if !l.past.heard(a.ID) {
+			l.conn.Fail(errNeverAsked)
+		}
 		return
 	}
+	// More than belongs to the answers that are due: the next part sent here would be lost to it. This answer counts.
+	if more && len(l.out) == 1 && l.past.late == 0 {
+		l.retire()
+	}
 	if a.End == brain.Pass && !p.in && !p.over {
 		p.in, p.value, p.score = true, a.Value, a.Score
 		o.book.open--
@@ -29,6 +35,8 @@
 	o.returned(p, no, a.End)
 }
 
+var errNeverAsked = errors.New("answer to a part never asked on this connection")
+
 // closed ends what was out on a connection: what was not written whole never ran.
 func (o *owner) closed(l *lane, why error) {
 	o.fleet.lanes--
--- a/mixer/route.go
+++ b/mixer/route.go
@@ -1,6 +1,7 @@
 package mixer
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,7 @@
 type fleet struct {
 	srvs   []*searcher
 	byName map[string]int
+	free   []int // places of searchers that are gone
 	lanes  int
 }
 
@@ -23,6 +25,7 @@
 type searcher struct {
 	host  proto.Host
 	lanes []*lane
+	live  int // dispatches that are not back
 }
 
 // lane is one connection and what is out on it.
@@ -32,14 +35,50 @@
 	conn    *link.Conn
 	out     map[*part]int    // and the number of its try
 	kills   map[uint64]*part // by the frame that gives it up
+	past    past
 	used    time.Duration
 	retired bool
 }
 
-// drop books that a dispatch is back.
-func (l *lane) drop(p *part, no int, now time.Duration) {
+// past knows the last parts that were out on a connection. A late answer and a second copy are told by it from the
+// answer to a part never asked there, which means that the connection is out of step.
+type past struct {
+	last []string // a ring, once it is full
+	due  []bool   // no answer to it was seen
+	next int
+	late int // how many are due
+}
+
+func (p *past) add(id string, due bool, most int) {
+	if len(p.last) < most {
+		p.last, p.due, p.next = append(p.last, ""), append(p.due, false), len(p.last)
+	}
+	p.late += b2i(due) - b2i(p.due[p.next])
+	p.last[p.next], p.due[p.next] = id, due
+	p.next = (p.next + 1) % most
+}
+
+func (p *past) heard(id string) bool {
+	i := slices.Index(p.last, id)
+	if i >= 0 && p.due[i] {
+		p.due[i] = false
+		p.late--
+	}
+	return i >= 0
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// drop books that a dispatch is back; its answer may still be due.
+func (l *lane) drop(p *part, no int, due bool, now time.Duration) {
 	if n, ok := l.out[p]; ok && n == no {
 		delete(l.out, p)
+		l.past.add(p.wire, due, l.o.lim.Past)
 	}
 	if l.used = now; l.retired {
 		l.retire()
@@ -69,9 +108,10 @@
 	for _, h := range l.Hosts {
 		i, ok := o.fleet.byName[h.Name]
 		if !ok {
-			i = len(o.fleet.srvs)
-			o.fleet.byName[h.Name] = i
-			o.fleet.srvs = append(o.fleet.srvs, &searcher{})
+			if h.State == brain.Gone {
+				continue
+			}
+			i = o.fleet.place(h.Name)
 		}
 		s := o.fleet.srvs[i]
 		if h.Addr == "" {
@@ -84,9 +124,40 @@
 		o.entry(i)
 	}
 	o.m.ListEnd(mode)
+	o.clear()
 	o.log.Info("list", zap.Int64("version", l.Version), zap.Bool("whole", l.Whole), zap.Int("entries", len(l.Hosts)))
 }
 
+// place gives a searcher an index, one given back if there is any.
+func (f *fleet) place(name string) int {
+	i := len(f.srvs)
+	if n := len(f.free); n > 0 {
+		i, f.free = f.free[n-1], f.free[:n-1]
+	} else {
+		f.srvs = append(f.srvs, nil)
+	}
+	f.srvs[i] = &searcher{}
+	f.byName[name] = i
+	return i
+}
+
+// clear lets go of searchers that are gone: their connections close once empty, and with nothing left of them
+// their places go to others. Against tables that grow all day where searchers are replaced under new names.
+func (o *owner) clear() {
+	for i, s := range o.fleet.srvs {
+		if s.host.Name == "" || s.host.State != brain.Gone {
+			continue
+		}
+		o.Renew(i)
+		if len(s.lanes) == 0 && s.live == 0 {
+			delete(o.fleet.byName, s.host.Name)
+			o.fleet.srvs[i] = &searcher{}
+			o.fleet.free = append(o.fleet.free, i)
+			o.m.Forget(i)
+		}
+	}
+}
+
 func (o *owner) entry(i int) {
 	h := &o.fleet.srvs[i].host
 	started := brain.LongAgo
@@ -99,8 +170,10 @@
 // relist tells a module that starts anew what is known.
 func (o *owner) relist() {
 	o.m.ListBegin(brain.Remembered)
-	for i := range o.fleet.srvs {
-		o.entry(i)
+	for i, s := range o.fleet.srvs {
+		if s.host.Name != "" {
+			o.entry(i)
+		}
 	}
 	o.m.ListEnd(brain.Remembered)
 }
@@ -141,6 +214,7 @@
 // sweep closes connections before the searchers do, which would cost what is being written to them.
 func (o *owner) sweep() {
 	o.timers.add(o.now+o.lim.LaneIdle/10, o.sweep)
+	o.clear()
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
 			if len(l.out) == 0 && o.now-l.used >= o.lim.LaneIdle && !l.retired {
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -22,8 +22,9 @@
 	if p == nil {
 		return
 	}
-	p.tries = append(p.tries, try{at: o.now, until: until, out: true, end: brain.Stale})
+	p.tries = append(p.tries, try{srv: o.fleet.srvs[srv], at: o.now, until: until, out: true, end: brain.Stale})
 	p.live++
+	o.fleet.srvs[srv].live++
 	o.out = append(o.out, sending{srv, p, len(p.tries) - 1})
 }
 
--- a/mixer/takein.go
+++ b/mixer/takein.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,10 +49,11 @@
 		Rewrite: func(r *httputil.ProxyRequest) {
 			r.Out.URL.Scheme, r.Out.URL.Host = "http", "searchers"
 		},
-		Transport: t,
+		Transport:  t,
+		BufferPool: newBuffers(t.lim.Copy),
 		// Hop-by-hop headers are gone by now, so this one is set where it stays.
 		ModifyResponse: func(res *http.Response) error {
-			if t.leaving() {
+			if res.Close || t.leaving() {
 				res.Header.Set("Connection", "close")
 			}
 			return nil
@@ -66,6 +68,16 @@
 	}
 }
 
+// buffers keeps what the proxy copies answers through. Its own would be 32 KB for each answer of some hundred bytes.
+type buffers struct{ sync.Pool }
+
+func newBuffers(size int) *buffers {
+	return &buffers{sync.Pool{New: func() any { return new(make([]byte, size)) }}}
+}
+
+func (b *buffers) Get() []byte  { return *b.Pool.Get().(*[]byte) }
+func (b *buffers) Put(x []byte) { b.Pool.Put(&x) }
+
 func (t *takeIn) RoundTrip(r *http.Request) (res *http.Response, err error) {
 	defer func() {
 		// The server would end the connection without an answer.
@@ -77,6 +89,9 @@
 	if r.Method != http.MethodPost {
 		return plain(r, http.StatusMethodNotAllowed, "only POST is taken"), nil
 	}
+	if r.ContentLength > int64(t.lim.Body) {
+		return t.tooLong(r), nil
+	}
 	var body []byte
 	if r.Body != nil {
 		body, err = io.ReadAll(io.LimitReader(r.Body, int64(t.lim.Body)+1))
@@ -87,7 +102,7 @@
 		return nil, fmt.Errorf("body: %w", err)
 	}
 	if len(body) > t.lim.Body {
-		return plain(r, http.StatusRequestEntityTooLarge, fmt.Sprintf("body: more than %d bytes", t.lim.Body)), nil
+		return t.tooLong(r), nil
 	}
 	q, err := proto.ReadQuery(r, body)
 	if err != nil {
@@ -135,6 +150,13 @@
 	}
 }
 
+// tooLong ends the connection with its answer: the rest of the body is not worth reading.
+func (t *takeIn) tooLong(r *http.Request) *http.Response {
+	res := plain(r, http.StatusRequestEntityTooLarge, fmt.Sprintf("body: more than %d bytes", t.lim.Body))
+	res.Close = true
+	return res
+}
+
 func plain(r *http.Request, status int, text string) *http.Response {
 	res := reply(r, status, append([]byte(text), '\n'))
 	res.Header.Set("Content-Type", "text/plain; charset=utf-8")
