--- a/brain/brain.go
+++ b/brain/brain.go
@@ -224,6 +224,9 @@
 	m.benefit.add(c.benefit, gainLat)
 	m.size.add(float64(sc.expect), gainLat)
 	c.size.add(float64(sc.expect), gainLat)
+	if !c.late && m.now >= sc.target {
+		return false
+	}
 	// What an outage of whole shards keeps from its floor is better asked again later than waited for.
 	reach := 1.0
 	for _, pi := range sc.parts {
@@ -231,22 +234,16 @@
 			reach -= p.weight
 		}
 	}
-	if reach < c.floor-eps || !c.late && m.now >= sc.target {
+	if reach < c.floor-eps {
 		return false
 	}
-	length := m.length(c)
+	left := (sc.target - m.now).Seconds()
+	// What brings little benefit for its parts is turned away first: by size, not by name.
+	poor := min(poorMost, max(1, m.benefit.v/m.size.v*c.size.v/c.benefit))
 	if m.overShare(sc) {
-		length *= overPoor
+		poor *= overPoor
 	}
-	// Narrowing goes first: a scan is judged by what its class's narrowest share would leave of the wait. Against
-	// turning away most wide scans, at few sound searchers, of which two thirds of the parts hold nearly all benefit.
-	return m.wait()*length*c.least/c.share < admitShare*(sc.target-m.now).Seconds()
-}
-
-// length is a scan's time in part latencies, as it counts for admission: what brings little benefit for its
-// parts is turned away first, by size, not by name.
-func (m *Mixer) length(c *class) float64 {
-	return max(1, c.ratio.v) * min(poorMost, max(1, m.benefit.v/max(m.size.v, eps)*c.size.v/c.benefit))
+	return m.wait()*poor*max(1, c.ratio.v) < admitShare*left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
@@ -531,7 +528,8 @@
 	}
 	c := &m.cls[p.class]
 	from, ran := p.exposed()
-	if p.live > 0 && !m.copies || ran && !m.repeatable(c, from, 2) {
+	switch {
+	case p.live > 0 && !m.copies, ran && !m.repeatable(c, from, 2):
 		return false
 	}
 	if m.budgeted {
@@ -935,8 +933,8 @@
 		c := &m.cls[i]
 		// A latency at which any table type is known to get near its target counts for all: against wide scans
 		// that are still in time themselves and make the narrow ones late.
-		if thr := min(c.thr, low); press > thr || m.wait()*m.length(c) > admitShare*c.target.Seconds() {
-			c.share -= narrowRate * dt * max(1, min(2, press/thr))
+		if thr := min(c.thr, low); press > thr {
+			c.share -= narrowRate * dt * min(2, press/thr)
 		} else {
 			c.share += widenRate * dt
 		}
