The wait for what is out counts once, not for each part latency of a scan

A trace of admission: part latency 8 to 34 ms, 46 to 130 parts out of one to three wide scans, best pace 800 to 1,100 passes a second, so 57 to 130 ms to drain, times 3.3 (a scan's time in part latencies) over 198 ms. At fault: admit and wait in brain.go, which multiply the drain time of everything out as if it were one part's latency; the pace is bounded by demand on a half idle fleet besides. Ruled out: clients that leave (0.5 to 1.3 percent, as drawn), connections lost with a searcher that goes (tens of parts, which pass elsewhere), cold budgets.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,6 +23,7 @@
 	narrowRate = 0.6                    // share given up a second at the threshold
 	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses all
 	admitShare = 0.8                    // of the time left that a scan may be expected to take
+	unevenMost = 1.5                    // what is out at the busiest searcher, in what is out at one on average
 	poorMost   = 3.0                    // how much sooner a scan is throttled for its benefit a part
 	overPoor   = 2.0                    // the same for a tenant over its share
 	quotaBrim  = 2 * time.Second        // of its share that a tenant may ask at once
@@ -224,9 +225,6 @@
 	m.benefit.add(c.benefit, gainLat)
 	m.size.add(float64(sc.expect), gainLat)
 	c.size.add(float64(sc.expect), gainLat)
-	if !c.late && m.now >= sc.target {
-		return false
-	}
 	// What an outage of whole shards keeps from its floor is better asked again later than waited for.
 	reach := 1.0
 	for _, pi := range sc.parts {
@@ -234,7 +232,7 @@
 			reach -= p.weight
 		}
 	}
-	if reach < c.floor-eps {
+	if reach < c.floor-eps || !c.late && m.now >= sc.target {
 		return false
 	}
 	left := (sc.target - m.now).Seconds()
@@ -243,7 +241,7 @@
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
-	return m.wait()*poor*max(1, c.ratio.v) < admitShare*left
+	return m.wait(max(1, c.ratio.v))*poor < admitShare*left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
@@ -267,14 +265,17 @@
 	return max(m.lat.v, float64(m.out)/max(m.peak, eps))
 }
 
-// wait is the part latency to come: the smoothed one, or less where Little's law (parts out over parts passed
-// a second) says less, lest a slow spell be remembered for ever once nothing is sent. In quiet hours the law
-// alone would not do. Where other mixers alone keep the searchers busy it lets the first scans in.
-func (m *Mixer) wait() float64 {
+// wait is how long a scan would take that takes so many part latencies: of the smoothed one, or of less where
+// Little's law (parts out over parts passed a second) says less, lest a slow spell be remembered for ever. In
+// quiet hours the law alone would not do; where other mixers alone keep the searchers busy it lets the first
+// scans in. What is out drains once, if unevenly, however many latencies a scan takes: counted as often, two
+// wide scans at once had narrow ones turned away by a half idle fleet. It could let in more as a jam begins.
+func (m *Mixer) wait(ratio float64) float64 {
 	if m.carried == 0 {
 		return 0
 	}
-	return min(m.press(), float64(m.out)/max(m.rate.v, m.carried*float64(m.ready)/2))
+	law := float64(m.out) / max(m.rate.v, m.carried*float64(m.ready)/2)
+	return min(max(m.lat.v*ratio, min(ratio, unevenMost)*m.press()), ratio*law)
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -605,3 +605,22 @@
 		}
 	}
 }
+
+// Two wide scans at once had narrow ones turned away from searchers that were half idle: the time in which all that
+// is out would pass was taken for a part latency, and counted once for each that a scan takes.
+func TestWhatIsOutDrainsOnce(t *testing.T) {
+	for _, c := range []struct {
+		lat  float64
+		out  int
+		want bool
+	}{{0.01, 500, true}, {0.01, 600, false}, {0.2, 300, true}, {0.3, 300, false}} {
+		w := settled()
+		w.m.known, w.m.peak, w.m.rate.v, w.m.carried, w.m.out = knownLeast, 1000, 100, 0.01, c.out
+		w.m.lat.v, w.m.cls[0].ratio.v = c.lat, 3
+		ss, ws := even(4, 8)
+		id := w.scan(0, 2*time.Second, ss, ws)
+		if _, taken := w.m.byNo[id]; taken != c.want {
+			t.Errorf("latency %v, %d out: taken %v", c.lat, c.out, taken)
+		}
+	}
+}
