Giving up a part in the midst of a searcher's answer closes its connection

A trace of every dispatch, give-up and end of a connection showed all three parts on one connection whose answer had stopped in the midst of a frame: given up and sent elsewhere within 1 ms, while the searcher no longer read there; the frame's time limit closed it 28 ms later. At fault: owner.giveUp in mixer/send.go, which took the written frame for heard. Ruled out: give-ups on sound connections (dozens in the same second, no second copy), refusals, connections that never came up, the new time limit closing too late (it ends what is out as a reset, before it goes again).

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peathollow/internal/proto"
@@ -47,6 +48,7 @@
 	ev   Events
 	stop context.CancelCauseFunc
 	wake chan struct{}
+	part atomic.Bool // the searcher is in the midst of a frame
 
 	mu      sync.Mutex
 	queue   []frame
@@ -115,6 +117,10 @@
 	return seq <= c.written
 }
 
+// Midway tells that the searcher has begun a frame that is not here whole. Most end at once; one that does not comes
+// from a searcher that is out of step, and may read no more of what is sent to it here.
+func (c *Conn) Midway() bool { return c.part.Load() }
+
 // Close ends the connection; Closed follows.
 func (c *Conn) Close() { c.Fail(errShut) }
 
@@ -229,6 +235,7 @@
 		// that has begun ends soon. Most come whole, and need no clock.
 		part := !proto.HoldsFrame(r)
 		if part {
+			c.part.Store(true)
 			if err := nc.SetReadDeadline(time.Now().Add(c.lim.Rest)); err != nil {
 				return err
 			}
@@ -239,6 +246,7 @@
 			return fmt.Errorf("read: %w", err)
 		}
 		if part {
+			c.part.Store(false)
 			if err := nc.SetReadDeadline(time.Time{}); err != nil {
 				return err
 			}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -130,6 +131,12 @@
 		lim.Rest = 30 * time.Millisecond
 		c, h := open(t, s.Addr(), lim)
 		seq, _ := c.Send(call("a"))
+		for !c.Midway() && len(h.closed) == 0 {
+			runtime.Gosched()
+		}
+		if !c.Midway() {
+			t.Errorf("%q: never midway", noise)
+		}
 		if err := <-h.closed; !errors.Is(err, os.ErrDeadlineExceeded) || !c.Ran(seq) || len(h.answers) > 0 {
 			t.Errorf("%q: %v", noise, err)
 		}
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -885,6 +885,47 @@
 	}
 }
 
+// A searcher that stops in the midst of an answer reads no more: a part given up there must not go elsewhere before
+// that connection has ended, or two of it would be out.
+func TestGivingUpEndsASpoiltConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	m := w0(t)
+	m.lim.Link.Rest = time.Hour
+	o := newOwner(ctx, &m.cfg, m.lim, zap.NewNop(), nil)
+	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: ln.Addr().String(), Cell: 1, Weight: 1}}})
+	s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+		reply: make(chan answer, 1)}
+	o.admit(s, time.Now())
+	o.flush()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, _, _, err := proto.ReadFrame(c, nil, 1<<10); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "\x40\x00\x00\x00Ox.1")
+	p := s.parts[0]
+	for l := p.tries[0].lane; !l.conn.Midway(); {
+		runtime.Gosched()
+	}
+	o.giveUp(p, 0, brain.Undone)
+	(<-o.events)() // that the connection is closed
+	if o.fleet.lanes != 0 || p.tries[0].out {
+		t.Error("the connection goes on")
+	}
+	if b, _ := io.ReadAll(c); len(b) > 0 {
+		t.Errorf("sent on it: %q", b)
+	}
+}
+
 func TestTimersAreOrdered(t *testing.T) {
 	dice := rand.New(rand.NewSource(3))
 	var q timers
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -103,6 +103,10 @@
 		o.returnLater(p, no, brain.Stale)
 	case !o.set.MayCancel:
 		o.returnLater(p, no, end)
+	case t.lane.conn.Midway():
+		// A connection that stops in the midst of an answer is likely spoilt, and word of giving up on it not read:
+		// the part would count as out while it goes elsewhere. Its end is heard in any case.
+		t.lane.conn.Close()
 	default:
 		if seq, ok := t.lane.conn.GiveUp(p.wire); ok {
 			t.lane.kills[seq] = p
