--- a/mixer/gate.go
+++ b/mixer/gate.go
@@ -85,10 +85,12 @@
 		fresh := now.Sub(c.since)
 		switch {
 		case c.state == http.StateNew && fresh >= g.young:
-			return 3
+			return 4
 		case c.state == http.StateIdle && fresh >= g.spare:
-			return 2
-		case c.state == http.StateNew || c.state == http.StateIdle:
+			return 3
+		case c.state == http.StateNew:
+			return 2 // hundreds at once that say nothing must not cost those in use their places
+		case c.state == http.StateIdle:
 			return 1
 		}
 		return 0
