Tidy: late answers derived from one ring, no map made for each body, searcher kept once

Found on reading the service change again; behaviour stays as it is. - heads.feed built a map at the end of every body to pick the next state. - past kept two slices side by side and a count that follows from them; the count is asked for only when bytes lie behind the last answer due.

--- a/mixer/heads.go
+++ b/mixer/heads.go
@@ -55,8 +55,13 @@
 		if h.at == inBody || h.at == inChunk {
 			n := min(h.left, uint64(len(b)))
 			b = b[n:]
-			if h.left -= n; h.left == 0 {
-				h.at = map[where]where{inBody: inHead, inChunk: afterChunk}[h.at]
+			h.left -= n
+			switch {
+			case h.left > 0:
+			case h.at == inChunk:
+				h.at = afterChunk
+			default:
+				h.at = inHead
 			}
 			continue
 		}
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -547,8 +547,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		o := newOwner(ctx, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
-		s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
-			reply: make(chan answer, 1)}
+		s := onePart("x")
 		o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: deaf(t), Cell: 1, Weight: 1}}})
 		o.guard(func() { o.admit(s, time.Now()) })
 		if len(o.out) != 1 {
@@ -660,8 +659,7 @@
 // A panic in a step answers all that is in hand and ends nothing else.
 func TestAPanicIsAnswered(t *testing.T) {
 	o := newOwner(context.Background(), &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
-	s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
-		reply: make(chan answer, 1)}
+	s := onePart("x")
 	o.guard(func() { o.admit(s, time.Now()) })
 	last := o.book.lastID
 	o.guard(func() { panic("a step fails") })
@@ -678,6 +676,12 @@
 	}
 }
 
+// onePart is a scan of shard 1 alone.
+func onePart(id string) *scan {
+	return &scan{q: proto.Query{ID: id, Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
+		reply: make(chan answer, 1)}
+}
+
 // w0 is a mixer that is not run.
 func w0(t *testing.T) *Mixer {
 	f, err := standin.NewFleet(4, func(int, proto.Call) standin.Reply { return standin.Reply{} }, nil)
@@ -777,8 +781,7 @@
 			}
 		}
 		o.list(map[bool]brain.ListMode{false: brain.Changes, true: brain.Whole}[l.Whole], l)
-		s := &scan{q: proto.Query{ID: fmt.Sprint(i), Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
-			reply: make(chan answer, 1)}
+		s := onePart(fmt.Sprint(i))
 		o.admit(s, time.Now())
 		if o.flush(); len(o.fleet.srvs) > 16 || len(o.fleet.byName) > 12 {
 			t.Fatalf("%d places, %d names after %d rounds", len(o.fleet.srvs), len(o.fleet.byName), i)
@@ -813,8 +816,7 @@
 	o := newOwner(ctx, &w0(t).cfg, w0(t).lim, zap.NewNop(), nil)
 	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: deaf(t), Cell: 0, Weight: 1}, {Name: "b", Addr: deaf(t), Cell: 1, Weight: 1}}})
 	ask := func(id string) (*scan, *lane) {
-		s := &scan{q: proto.Query{ID: id, Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
-			reply: make(chan answer, 1)}
+		s := onePart(id)
 		o.admit(s, time.Now())
 		o.flush()
 		return s, s.parts[0].tries[0].lane
@@ -899,8 +901,7 @@
 	m.lim.Link.Rest = time.Hour
 	o := newOwner(ctx, &m.cfg, m.lim, zap.NewNop(), nil)
 	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: ln.Addr().String(), Cell: 1, Weight: 1}}})
-	s := &scan{q: proto.Query{ID: "x", Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
-		reply: make(chan answer, 1)}
+	s := onePart("x")
 	o.admit(s, time.Now())
 	o.flush()
 	c, err := ln.Accept()
--- a/mixer/relay.go
+++ b/mixer/relay.go
@@ -25,7 +25,7 @@
 		return
 	}
 	// More than belongs to the answers that are due: the next part sent here would be lost to it. This answer counts.
-	if more && len(l.out) == 1 && l.past.late == 0 {
+	if more && len(l.out) == 1 && !l.past.anyDue() {
 		l.retire()
 	}
 	if a.End == brain.Pass && !p.in && !p.over {
--- a/mixer/route.go
+++ b/mixer/route.go
@@ -43,35 +43,33 @@
 // past knows the last parts that were out on a connection. A late answer and a second copy are told by it from the
 // answer to a part never asked there, which means that the connection is out of step.
 type past struct {
-	last []string // a ring, once it is full
-	due  []bool   // no answer to it was seen
+	last []dispatched // a ring, once it is full
 	next int
-	late int // how many are due
+}
+
+type dispatched struct {
+	id  string
+	due bool // no answer to it was seen
 }
 
 func (p *past) add(id string, due bool, most int) {
 	if len(p.last) < most {
-		p.last, p.due, p.next = append(p.last, ""), append(p.due, false), len(p.last)
+		p.last, p.next = append(p.last, dispatched{}), len(p.last)
 	}
-	p.late += b2i(due) - b2i(p.due[p.next])
-	p.last[p.next], p.due[p.next] = id, due
+	p.last[p.next] = dispatched{id, due}
 	p.next = (p.next + 1) % most
 }
 
 func (p *past) heard(id string) bool {
-	i := slices.Index(p.last, id)
-	if i >= 0 && p.due[i] {
-		p.due[i] = false
-		p.late--
+	i := slices.IndexFunc(p.last, func(d dispatched) bool { return d.id == id })
+	if i >= 0 {
+		p.last[i].due = false
 	}
 	return i >= 0
 }
 
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
+func (p *past) anyDue() bool {
+	return slices.ContainsFunc(p.last, func(d dispatched) bool { return d.due })
 }
 
 // drop books that a dispatch is back; its answer may still be due.
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -11,29 +11,31 @@
 // The fourth stage: dispatches leave as frames, and are given up.
 
 type sending struct {
-	srv int
-	p   *part
-	no  int
+	p  *part
+	no int
 }
 
+func (s sending) srv() *searcher { return s.p.tries[s.no].srv }
+
 // Dispatch is an action of the module; the frame leaves when the batch is done, with all that share its call.
 func (o *owner) Dispatch(id uint64, srv int, until time.Duration) {
 	p := o.book.parts[id]
 	if p == nil {
 		return
 	}
-	p.tries = append(p.tries, try{srv: o.fleet.srvs[srv], at: o.now, until: until, out: true, end: brain.Stale})
+	s := o.fleet.srvs[srv]
+	p.tries = append(p.tries, try{srv: s, at: o.now, until: until, out: true, end: brain.Stale})
 	p.live++
-	o.fleet.srvs[srv].live++
-	o.out = append(o.out, sending{srv, p, len(p.tries) - 1})
+	s.live++
+	o.out = append(o.out, sending{p, len(p.tries) - 1})
 }
 
 func (o *owner) flush() {
 	for len(o.out) > 0 {
-		srv := o.out[0].srv
+		srv := o.out[0].srv()
 		var call []sending
 		o.out = slices.DeleteFunc(o.out, func(s sending) bool {
-			if s.srv != srv || len(call) >= max(1, o.set.Brain.PartsPerCall) {
+			if s.srv() != srv || len(call) >= max(1, o.set.Brain.PartsPerCall) {
 				return false
 			}
 			call = append(call, s)
@@ -49,11 +51,11 @@
 	return !t.out || t.end != brain.Stale || p.over
 }
 
-func (o *owner) send(srv int, call []sending) {
+func (o *owner) send(srv *searcher, call []sending) {
 	if len(call) == 0 {
 		return
 	}
-	l := o.lane(o.fleet.srvs[srv], len(call))
+	l := o.lane(srv, len(call))
 	calls := make([]proto.Call, len(call))
 	for i, c := range call {
 		q := &c.p.scan.q
