A part goes elsewhere only once its searcher is known to have heard it was given up

Cause: owner.givenUp (mixer/send.go) took a dispatch for ended when the frame that gives it up was written.

Change: word of giving up is followed by a probe on the same connection, whose answer is the receipt; an answer to a later part will do, and so does the searcher's end of the connection, which is awaited when this mixer ends one. A connection that says nothing at all when asked ends. In doubt a part stays out till its scan ends. Midway and its special case are gone.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,10 +7,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"peathollow/internal/proto"
@@ -18,6 +20,8 @@
 
 // Limits are the sizes and times of a connection.
 type Limits struct {
+	Receipt time.Duration // for a searcher to say anything once it is asked for a receipt
+	Linger  time.Duration // for the searcher's end of a connection that this mixer has ended
 	Frame   int           // bytes of a frame from a searcher
 	Queue   int           // frames that wait to be written
 	Connect time.Duration // for a connection to come up
@@ -26,11 +30,13 @@
 	Keep    int           // bytes of a buffer that are kept for the next frame
 }
 
-// Events are told from the connection's own goroutines. Closed comes once, after all else.
+// Events are told from the connection's own goroutines: Answered and Told as they happen, then Closing once, when
+// nothing more is sent or believed, then Closed once, when the connection is gone.
 type Events interface {
 	Answered(c *Conn, a proto.Answer, more bool) // more: there are bytes right behind
-	Told(c *Conn, seqs []uint64)                 // these frames, which give up a part each, were written together
-	Closed(c *Conn, why error)
+	Told(c *Conn, seqs []uint64)                 // these frames, which give up a part each, ended together, see GiveUp
+	Closing(c *Conn, why error)
+	Closed(c *Conn, heard bool) // heard: the searcher ended it too, or it never came up, so nothing on it is out there
 }
 
 // frame is encoded only when it is written: till then parts may be taken out of it, and time passes.
@@ -38,33 +44,47 @@
 	seq   uint64
 	calls []proto.Call
 	stop  string // the id of a part that is given up, in place of calls
+	proof bool   // and the searcher is to say that it has read so
 	end   int    // where it ends among the bytes being written
 }
 
+// ask is a probe written behind frames that give parts up. What a searcher reads on one connection it reads in order,
+// so that its answer is the receipt for them.
+type ask struct {
+	seqs  []uint64
+	clock *time.Timer
+}
+
 // Conn is one connection, perhaps still coming up.
 type Conn struct {
-	addr string
-	lim  Limits
-	ev   Events
-	stop context.CancelCauseFunc
-	wake chan struct{}
-	part atomic.Bool // the searcher is in the midst of a frame
+	addr  string
+	lim   Limits
+	ev    Events
+	all   context.Context
+	stop  context.CancelCauseFunc
+	wake  chan struct{}
+	heard atomic.Uint64 // frames read
 
 	mu      sync.Mutex
 	queue   []frame
+	asked   []ask  // not answered yet, oldest first
 	last    uint64 // the last frame taken in
 	written uint64 // the last frame whose last byte was written
 	shut    bool
 }
 
+// ErrMute is why a connection ends that says nothing when it is asked for a receipt.
+var ErrMute = errors.New("silent when asked for a receipt")
+
 var (
 	errShut  = errors.New("closed by this mixer")
 	errFrame = errors.New("searcher could not use a frame")
+	errProbe = errors.New("answer to a probe never sent")
 )
 
 // Open starts a connection; what is sent before it is up waits.
 func Open(ctx context.Context, addr string, lim Limits, ev Events) *Conn {
-	c := &Conn{addr: addr, lim: lim, ev: ev, wake: make(chan struct{}, 1)}
+	c := &Conn{addr: addr, lim: lim, ev: ev, all: ctx, wake: make(chan struct{}, 1)}
 	ctx, c.stop = context.WithCancelCause(ctx)
 	go c.run(ctx)
 	return c
@@ -73,8 +93,11 @@
 // Send queues one call and gives its frame's number; false if the connection takes no more.
 func (c *Conn) Send(calls []proto.Call) (uint64, bool) { return c.put(frame{calls: calls}) }
 
-// GiveUp queues word that a part is given up; Told follows.
-func (c *Conn) GiveUp(id string) (uint64, bool) { return c.put(frame{stop: id}) }
+// GiveUp queues word that a part is given up. Told follows once that is written or, with proof, once the searcher
+// has said that it has read it. A connection that says nothing at all when asked ends.
+func (c *Conn) GiveUp(id string, proof bool) (uint64, bool) {
+	return c.put(frame{stop: id, proof: proof})
+}
 
 func (c *Conn) put(f frame) (uint64, bool) {
 	c.mu.Lock()
@@ -117,61 +140,86 @@
 	return seq <= c.written
 }
 
-// Midway tells that the searcher has begun a frame that is not here whole. Most end at once; one that does not comes
-// from a searcher that is out of step, and may read no more of what is sent to it here.
-func (c *Conn) Midway() bool { return c.part.Load() }
-
-// Close ends the connection; Closed follows.
+// Close ends the connection; Closing and Closed follow.
 func (c *Conn) Close() { c.Fail(errShut) }
 
 // Fail ends it for a reason.
-func (c *Conn) Fail(why error) { c.stop(why) }
-
-func (c *Conn) run(ctx context.Context) {
-	err := guard(func() error { return c.serve(ctx) })
+func (c *Conn) Fail(why error) {
 	c.mu.Lock()
 	c.shut = true
 	c.mu.Unlock()
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	c.stop(err)
-	c.ev.Closed(c, err)
+	c.stop(why)
 }
 
-// guard makes a panic the end of this connection alone.
-func guard(f func() error) (err error) {
-	defer func() {
-		if e := recover(); e != nil {
-			err = fmt.Errorf("panic: %v", e)
-		}
-	}()
-	return f()
+// Shut tells that it takes nothing more.
+func (c *Conn) Shut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut
 }
 
-func (c *Conn) serve(ctx context.Context) error {
+func (c *Conn) run(ctx context.Context) {
 	d := net.Dialer{Timeout: c.lim.Connect, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
-		return fmt.Errorf("connect: %w", err)
+		c.end(ctx, fmt.Errorf("connect: %w", err))
+		c.ev.Closed(c, true)
+		return
 	}
-	// Closing is what ends a blocked read or write.
-	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	defer nc.Close()
-	read := make(chan error, 1)
+	// A deadline is what ends a blocked read or write.
+	cut := make(chan struct{})
+	context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)); close(cut) })
+	peer := make(chan bool, 1)
 	go func() {
 		err := guard(func() error { return c.read(nc) })
-		c.stop(err)
-		read <- err
+		c.Fail(err)
+		peer <- ended(err)
 	}()
-	err = guard(func() error { return c.write(ctx, nc) })
-	c.stop(err)
-	nc.Close()
-	// What the searcher said before the end still counts, and comes before Closed.
-	if why := <-read; err == nil {
-		err = why
+	c.end(ctx, guard(func() error { return c.write(ctx, nc) }))
+	<-cut
+	c.ev.Closed(c, <-peer || c.linger(nc))
+}
+
+// end stops both directions. What the searcher said before still counts, and comes before Closing.
+func (c *Conn) end(ctx context.Context, err error) {
+	c.Fail(err)
+	c.mu.Lock()
+	asked := c.asked
+	c.asked = nil
+	c.mu.Unlock()
+	for _, a := range asked {
+		a.clock.Stop()
+	}
+	c.ev.Closing(c, context.Cause(ctx))
+}
+
+// ended tells that a read failed since the searcher has ended the connection, and not since this mixer has.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// linger ends this side and waits for the searcher's end. Closing alone says nothing of when the searcher hears of
+// it: it may yet read what was written here, after what went out elsewhere. Where all is ended at once, nothing
+// goes out any more and nobody waits.
+func (c *Conn) linger(nc net.Conn) bool {
+	tc, ok := nc.(*net.TCPConn)
+	if !ok || tc.CloseWrite() != nil || nc.SetReadDeadline(time.Now().Add(c.lim.Linger)) != nil {
+		return false
 	}
-	return err
+	defer context.AfterFunc(c.all, func() { nc.Close() })()
+	_, err := io.Copy(io.Discard, nc)
+	return err == nil || ended(err)
+}
+
+// guard makes a panic the end of this connection alone.
+func guard(f func() error) (err error) {
+	defer func() {
+		if e := recover(); e != nil {
+			err = fmt.Errorf("panic: %v", e)
+		}
+	}()
+	return f()
 }
 
 func (c *Conn) write(ctx context.Context, nc net.Conn) error {
@@ -191,13 +239,19 @@
 		}
 		buf = buf[:0]
 		now := time.Now()
+		var proof []uint64
 		for i := range batch {
-			if f := &batch[i]; f.stop != "" {
-				buf = proto.AppendGiveUp(buf, f.stop)
-			} else {
+			f := &batch[i]
+			if f.stop == "" {
 				buf = proto.AppendCalls(buf, now, f.calls...)
+			} else if buf = proto.AppendGiveUp(buf, f.stop); f.proof {
+				proof = append(proof, f.seq)
 			}
-			batch[i].end = len(buf)
+			f.end = len(buf)
+		}
+		if len(proof) > 0 {
+			buf = proto.AppendProbe(buf)
+			c.expect(proof) // before it is written: the answer may be read at once
 		}
 		if err := nc.SetWriteDeadline(now.Add(c.lim.Write)); err != nil {
 			return err
@@ -211,7 +265,7 @@
 			c.mu.Lock()
 			c.written = batch[i].seq
 			c.mu.Unlock()
-			if batch[i].stop != "" {
+			if batch[i].stop != "" && !batch[i].proof {
 				told = append(told, batch[i].seq)
 			}
 		}
@@ -224,6 +278,33 @@
 	}
 }
 
+// expect notes what a probe is the receipt for, and ends the connection if nothing at all is heard in time.
+func (c *Conn) expect(seqs []uint64) {
+	before := c.heard.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, ask{seqs: seqs, clock: time.AfterFunc(c.lim.Receipt, func() {
+		if c.heard.Load() == before {
+			c.Fail(ErrMute)
+		}
+	})})
+}
+
+// receipt is the answer to the oldest probe.
+func (c *Conn) receipt() bool {
+	c.mu.Lock()
+	if len(c.asked) == 0 {
+		c.mu.Unlock()
+		return false
+	}
+	a := c.asked[0]
+	c.asked = slices.Delete(c.asked, 0, 1)
+	c.mu.Unlock()
+	a.clock.Stop()
+	c.ev.Told(c, a.seqs)
+	return true
+}
+
 func (c *Conn) read(nc net.Conn) error {
 	r := bufio.NewReaderSize(nc, 4096)
 	var buf, rest []byte
@@ -235,8 +316,7 @@
 		// that has begun ends soon. Most come whole, and need no clock.
 		part := !proto.HoldsFrame(r)
 		if part {
-			c.part.Store(true)
-			if err := nc.SetReadDeadline(time.Now().Add(c.lim.Rest)); err != nil {
+			if err := c.until(nc, time.Now().Add(c.lim.Rest)); err != nil {
 				return err
 			}
 		}
@@ -246,11 +326,11 @@
 			return fmt.Errorf("read: %w", err)
 		}
 		if part {
-			c.part.Store(false)
-			if err := nc.SetReadDeadline(time.Time{}); err != nil {
+			if err := c.until(nc, time.Time{}); err != nil {
 				return err
 			}
 		}
+		c.heard.Add(1)
 		switch letter {
 		case proto.LetterAnswer:
 			a, err := proto.ReadAnswer(rest)
@@ -260,7 +340,10 @@
 			c.ev.Answered(c, a, r.Buffered() > 0)
 		case proto.LetterEnd:
 			return fmt.Errorf("%w: %.100q", errFrame, rest)
-		case proto.LetterProbe, proto.LetterLoad:
+		case proto.LetterProbe:
+			if !c.receipt() {
+				return errProbe
+			}
 		default:
 			return fmt.Errorf("frame with letter %q", letter)
 		}
@@ -269,3 +352,13 @@
 		}
 	}
 }
+
+// until sets when a read ends, unless the connection ends: that is not to be undone.
+func (c *Conn) until(nc net.Conn, at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		return errShut
+	}
+	return nc.SetReadDeadline(at)
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,22 +18,26 @@
 type heard struct {
 	answers chan proto.Answer
 	told    chan []uint64
-	closed  chan error
+	closed  chan error // why it was closing, once it is closed
+	ended   chan bool  // and whether the searcher's end was heard
+	why     chan error
 }
 
 func (h heard) Answered(_ *Conn, a proto.Answer, _ bool) { h.answers <- a }
 func (h heard) Told(_ *Conn, seqs []uint64)              { h.told <- seqs }
-func (h heard) Closed(_ *Conn, why error)                { h.closed <- why }
+func (h heard) Closing(_ *Conn, why error)               { h.why <- why }
+func (h heard) Closed(_ *Conn, heard bool)               { h.ended <- heard; h.closed <- <-h.why }
 
 func open(t *testing.T, addr string, lim Limits) (*Conn, heard) {
-	h := heard{make(chan proto.Answer, 99), make(chan []uint64, 99), make(chan error, 1)}
+	h := heard{make(chan proto.Answer, 99), make(chan []uint64, 99), make(chan error, 1), make(chan bool, 1), make(chan error, 1)}
 	ctx, stop := context.WithCancel(context.Background())
 	c := Open(ctx, addr, lim, h)
 	t.Cleanup(stop)
 	return c, h
 }
 
-var usual = Limits{Frame: 1 << 10, Queue: 10, Connect: 5 * time.Second, Write: 5 * time.Second, Rest: 5 * time.Second}
+var usual = Limits{Frame: 1 << 10, Queue: 10, Connect: 5 * time.Second, Write: 5 * time.Second, Rest: 5 * time.Second,
+	Receipt: 5 * time.Second, Linger: 5 * time.Second}
 
 func call(id string) []proto.Call {
 	return []proto.Call{{ID: id, Until: time.Now().Add(time.Second), Text: "x"}}
@@ -131,12 +136,6 @@
 		lim.Rest = 30 * time.Millisecond
 		c, h := open(t, s.Addr(), lim)
 		seq, _ := c.Send(call("a"))
-		for !c.Midway() && len(h.closed) == 0 {
-			runtime.Gosched()
-		}
-		if !c.Midway() {
-			t.Errorf("%q: never midway", noise)
-		}
 		if err := <-h.closed; !errors.Is(err, os.ErrDeadlineExceeded) || !c.Ran(seq) || len(h.answers) > 0 {
 			t.Errorf("%q: %v", noise, err)
 		}
@@ -164,3 +163,79 @@
 		t.Error(err)
 	}
 }
+
+// Word of giving up is told once it is read, not once it is written: the receipt is the answer to a probe behind it.
+func TestGivingUpIsToldOnceRead(t *testing.T) {
+	var read atomic.Int32
+	s, err := standin.NewSearcher("127.0.0.1:0", func(proto.Call) standin.Reply {
+		return standin.Reply{Silent: true, Late: 30 * time.Millisecond}
+	}, func(string) { read.Add(1) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c, h := open(t, s.Addr(), usual)
+	seq, _ := c.Send(call("a"))
+	for !c.Ran(seq) {
+		runtime.Gosched()
+	}
+	one, _ := c.GiveUp("a", true)
+	two, _ := c.GiveUp("b", true)
+	for told := []uint64{}; len(told) < 2; {
+		told = append(told, <-h.told...)
+		if n := int(read.Load()); n < len(told) || told[0] != one || len(told) > 1 && told[1] != two {
+			t.Errorf("told %v of %d, %d read", told, one, n)
+		}
+	}
+	// Without proof the last byte written will do.
+	three, _ := c.GiveUp("c", false)
+	if told := <-h.told; len(told) != 1 || told[0] != three {
+		t.Errorf("told %v", told)
+	}
+}
+
+// A searcher that says nothing when asked for a receipt ends its connection; while it says anything it does not.
+func TestAMuteConnectionEnds(t *testing.T) {
+	s := searcher(t, func(c proto.Call) standin.Reply { return standin.Reply{Silent: true, Mute: true} })
+	lim := usual
+	lim.Receipt = 30 * time.Millisecond
+	c, h := open(t, s.Addr(), lim)
+	c.Send(call("a"))
+	c.GiveUp("a", true)
+	if err := <-h.closed; !errors.Is(err, ErrMute) || len(h.told) > 0 || !<-h.ended {
+		t.Errorf("%v, told %d", err, len(h.told))
+	}
+}
+
+// A searcher's end is told from this mixer's own: only the first shows that nothing is out there any more.
+func TestWhoseEndWasHeard(t *testing.T) {
+	s := searcher(t, func(c proto.Call) standin.Reply {
+		return standin.Reply{Reset: c.ID == "reset", Silent: c.ID != "reset",
+			Late: map[string]time.Duration{"deaf": time.Minute}[c.ID]}
+	})
+	lim := usual
+	lim.Linger = 50 * time.Millisecond
+	for _, id := range []string{"usual", "reset", "deaf"} {
+		c, h := open(t, s.Addr(), lim)
+		seq, _ := c.Send(call(id))
+		for !c.Ran(seq) {
+			runtime.Gosched()
+		}
+		if id != "reset" {
+			c.Close()
+		}
+		if heard := <-h.ended; heard != (id != "deaf") {
+			t.Errorf("%s: heard %v", id, heard)
+		}
+	}
+}
+
+// What answers a probe that was never sent is out of step.
+func TestAnAnswerToNoProbe(t *testing.T) {
+	s := searcher(t, func(proto.Call) standin.Reply { return standin.Reply{Junk: proto.AppendProbed(nil)} })
+	c, h := open(t, s.Addr(), usual)
+	c.Send(call("a"))
+	if err := <-h.closed; !errors.Is(err, errProbe) {
+		t.Error(err)
+	}
+}
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -77,6 +77,12 @@
 	return seal(append(b, id...), at)
 }
 
+// AppendProbe writes a probe, which a searcher answers in the order it reads.
+func AppendProbe(b []byte) []byte { return append(b, 1, 0, 0, 0, LetterProbe) }
+
+// AppendProbed writes a searcher's answer to one.
+func AppendProbed(b []byte) []byte { return append(b, 4, 0, 0, 0, LetterProbe, '2', '0', '0') }
+
 func seal(b []byte, at int) []byte {
 	binary.LittleEndian.PutUint32(b[at:], uint32(len(b)-at-4))
 	return b
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -38,6 +38,13 @@
 	return f, nil
 }
 
+// Book has all dispatches counted in one ledger.
+func (f *Fleet) Book(l *Ledger) {
+	for _, s := range f.Searchers {
+		s.Book(l)
+	}
+}
+
 // Host is the list's entry of one searcher.
 func (f *Fleet) Host(i int, health string) Host {
 	return Host{Host: fmt.Sprintf("toy-%d", i), Dial: f.Searchers[i].Addr(), Site: "here", Class: "toy", Block: i,
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -22,6 +22,10 @@
 	Reset  bool   // the connection breaks
 	Half   bool   // and only after half of the answer
 	Junk   []byte // goes out in place of an answer
+	// Late is how long it reads nothing more on this connection; meanwhile it neither takes what is written there nor
+	// notices its end.
+	Late time.Duration
+	Mute bool // it answers no probes on this connection from here on, though it reads
 }
 
 // Searcher is a toy searcher on one address.
@@ -29,10 +33,12 @@
 	ln     net.Listener
 	reply  func(proto.Call) Reply
 	gaveUp func(id string)
+	ledger *Ledger // may be nil
 	mu     sync.Mutex
 	open   map[net.Conn]bool
 	all    sync.WaitGroup
 	shut   bool
+	done   chan struct{}
 }
 
 // NewSearcher listens at an address; reply is asked for each part and must be safe for use by many goroutines.
@@ -42,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in searcher: %w", err)
 	}
-	s := &Searcher{ln: ln, reply: reply, gaveUp: gaveUp, open: map[net.Conn]bool{}}
+	s := &Searcher{ln: ln, reply: reply, gaveUp: gaveUp, open: map[net.Conn]bool{}, done: make(chan struct{})}
 	s.all.Go(func() {
 		for {
 			c, err := ln.Accept()
@@ -65,6 +71,13 @@
 // Addr is where it listens.
 func (s *Searcher) Addr() string { return s.ln.Addr().String() }
 
+// Book has the searcher's dispatches counted, from the next connection on.
+func (s *Searcher) Book(l *Ledger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger = l
+}
+
 // Break ends all connections there are.
 func (s *Searcher) Break() {
 	s.mu.Lock()
@@ -78,7 +91,10 @@
 func (s *Searcher) Close() {
 	s.ln.Close()
 	s.mu.Lock()
-	s.shut = true
+	if !s.shut {
+		s.shut = true
+		close(s.done)
+	}
 	s.mu.Unlock()
 	s.Break()
 	s.all.Wait()
@@ -87,10 +103,17 @@
 func (s *Searcher) serve(c net.Conn) {
 	var write sync.Mutex
 	var late []*time.Timer
+	s.mu.Lock()
+	book := s.ledger
+	s.mu.Unlock()
+	if book == nil {
+		book = NewLedger()
+	}
 	defer func() {
 		for _, t := range late {
 			t.Stop()
 		}
+		book.Gone(c)
 		c.Close()
 		s.mu.Lock()
 		delete(s.open, c)
@@ -103,7 +126,11 @@
 	}
 	r := bufio.NewReader(c)
 	var buf []byte
+	var pause time.Duration
+	mute := false
 	for {
+		s.rest(pause)
+		pause = 0
 		letter, rest, grown, err := proto.ReadFrame(r, buf, 1<<20)
 		if buf = grown; err != nil {
 			return
@@ -116,7 +143,9 @@
 				return
 			}
 			for _, k := range calls {
+				book.Begin(k.ID, c, s.Addr())
 				p := s.reply(k)
+				pause, mute = max(pause, p.Late), mute || p.Mute
 				out := p.Junk
 				if out == nil {
 					out = proto.AppendAnswer(nil, k.ID, p.End, Score(k), Value(k))
@@ -124,17 +153,27 @@
 				switch {
 				case p.Silent:
 				case p.Reset:
+					book.Gone(c)
 					if p.Half {
 						say(out[:len(out)/2])
 					}
 					return
 				case p.After > 0:
-					late = append(late, time.AfterFunc(p.After, func() { say(out) }))
+					late = append(late, time.AfterFunc(p.After, func() {
+						book.End(k.ID, c)
+						say(out)
+					}))
 				default:
+					book.End(k.ID, c)
 					say(out)
 				}
 			}
+		case proto.LetterProbe:
+			if !mute {
+				say(proto.AppendProbed(nil))
+			}
 		case proto.LetterGiveUp:
+			book.End(string(rest), c)
 			if s.gaveUp != nil {
 				s.gaveUp(string(rest))
 			}
@@ -142,6 +181,19 @@
 	}
 }
 
+// rest passes time, unless the searcher ends.
+func (s *Searcher) rest(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.done:
+	}
+}
+
 // Value is what a sound searcher makes of a part: the same at each holder of its shard.
 func Value(c proto.Call) string {
 	h := fnv.New64a()
--- a/mixer/book.go
+++ b/mixer/book.go
@@ -28,6 +28,7 @@
 	parts [brain.Stale + 1]int
 	left  int // clients that went away
 	full  int // scans beyond what may be held
+	doubt int // dispatches whose connection went without a word of their end
 }
 
 func newBook() book {
@@ -96,11 +97,21 @@
 			o.book.open--
 		}
 		o.recall(p)
+		o.release(p)
 		o.book.forget(p)
 	}
 	s.parts = nil
 }
 
+// release lets go of dispatches whose end will never be known: with the step over, nothing of it goes out again.
+func (o *owner) release(p *part) {
+	for no := range p.tries {
+		if t := &p.tries[no]; t.out && t.lane != nil && t.lane.gone {
+			o.returnLater(p, no, t.lostAs())
+		}
+	}
+}
+
 func (b *book) forget(p *part) {
 	if p.over && p.live == 0 {
 		delete(b.parts, p.id)
@@ -136,7 +147,7 @@
 	}
 	o.log.Info("tally", zap.Int("completed", t.scans[completed]), zap.Int("throttled", t.scans[throttled]),
 		zap.Int("abandoned", t.scans[abandoned]), zap.Int("left", t.left), zap.Int("full", t.full),
-		zap.Int("unfit", t.scans[unfit]), zap.Int("open", o.book.open), zap.Int("connections", o.fleet.lanes),
+		zap.Int("unfit", t.scans[unfit]), zap.Int("doubt", t.doubt), zap.Int("open", o.book.open), zap.Int("connections", o.fleet.lanes),
 		zap.Any("dispatches", ends))
 }
 
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -97,7 +97,8 @@
 		// as when one mixer after another is restarted, are served on the connections they have till then.
 		StopTell: max(stopAccept, stop-shortest), StopFinish: stop,
 		ReadyWait: 500 * time.Millisecond,
-		Link:      link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect, Rest: set.Connect / 2, Keep: 4 << 10},
+		Link: link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect, Rest: set.Connect / 2,
+			Receipt: set.Connect / 2, Linger: 2 * set.Connect, Keep: 4 << 10},
 		Discovery: discovery.Limits{Body: int64(min(8<<20, memory/16)), Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
 			Pause: time.Second},
 		LogEvery: 10 * time.Second, LogFirst: 5, LogThereafter: 100,
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -36,6 +36,7 @@
 	http  *http.Client
 	stop  context.CancelFunc
 	ended chan error
+	book  *standin.Ledger
 
 	mu    sync.Mutex
 	seen  map[string][]sight // by part
@@ -51,7 +52,8 @@
 
 func start(t *testing.T, n int, reply func(srv, try int, c proto.Call) standin.Reply, edit func(map[string]any)) *world {
 	t.Helper()
-	w := &world{t: t, seen: map[string][]sight{}, lastD: map[string]time.Time{}, ended: make(chan error, 1)}
+	w := &world{t: t, seen: map[string][]sight{}, lastD: map[string]time.Time{}, ended: make(chan error, 1),
+		book: standin.NewLedger()}
 	var err error
 	w.fleet, err = standin.NewFleet(n, func(srv int, c proto.Call) standin.Reply {
 		w.mu.Lock()
@@ -72,6 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.fleet.Book(w.book)
 	w.mix = made(t, w.fleet, edit)
 	ln, err := net.Listen("tcp", w.mix.cfg.Listen)
 	if err != nil {
@@ -102,6 +105,9 @@
 	}
 	w.http.CloseIdleConnections()
 	w.fleet.Close()
+	if copies, _ := w.book.Copies(); len(copies) > 0 && !w.mix.cfg.Settings.Brain.SecondCopies {
+		w.t.Errorf("%d second copies: %.3q", len(copies), copies)
+	}
 }
 
 func body(shards ...int) string {
@@ -219,9 +225,6 @@
 			if i+1 < len(tries) && class == "once" && mine {
 				return "a part that may have run went again"
 			}
-			if i+1 < len(tries) && x.reply.Silent && !x.reply.Reset && !x.gaveUp && !w.broke(x.srv) {
-				return "a second copy of a part that was not given up"
-			}
 			if class == "keyed" && x.call.Key != "key-"+id {
 				return "a part without its key"
 			}
@@ -239,18 +242,6 @@
 	return ""
 }
 
-// broke tells whether a searcher has ended any connection: that ends what was out on it too.
-func (w *world) broke(srv int) bool {
-	for _, tries := range w.seen {
-		for _, x := range tries {
-			if x.srv == srv && (x.reply.Reset || x.reply.Junk != nil) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (w *world) honest(id, class string, shards []int, g got) string {
 	share := 0.0
 	for _, r := range g.Rows {
@@ -841,11 +832,13 @@
 	if o.answered(l, pass, true); !l.retired {
 		t.Error("bytes behind the last answer")
 	}
-	(<-o.events)()
+	(<-o.events)() // that it closes
+	(<-o.events)() // that it is closed
 	s, l := ask("w")
 	pass.ID = "nobody.1"
 	o.answered(l, pass, false)
 	(<-o.events)()
+	(<-o.events)()
 	if len(l.out) > 0 || o.fleet.lanes > 0 {
 		t.Errorf("still out: %v", s.parts)
 	}
@@ -887,43 +880,150 @@
 	}
 }
 
-// A searcher that stops in the midst of an answer reads no more: a part given up there must not go elsewhere before
-// that connection has ended, or two of it would be out.
-func TestGivingUpEndsASpoiltConnection(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	m := w0(t)
-	m.lim.Link.Rest = time.Hour
-	o := newOwner(ctx, &m.cfg, m.lim, zap.NewNop(), nil)
-	o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: ln.Addr().String(), Cell: 1, Weight: 1}}})
-	s := onePart("x")
-	o.admit(s, time.Now())
-	o.flush()
-	c, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
+// A part goes elsewhere once its searcher is known to have heard that it is given up, not once that was written: a
+// searcher that reads late would count it as out beside the copy.
+func TestAPartGoesElsewhereOnceItsEndIsKnown(t *testing.T) {
+	w := start(t, 4, func(_, try int, c proto.Call) standin.Reply {
+		r := standin.Reply{End: 200}
+		if try == 0 && strings.HasPrefix(c.ID, "stuck") {
+			r.Silent, r.Late = true, 150*time.Millisecond
+		}
+		return r
+	}, nil)
+	defer w.close()
+	for i := range 30 {
+		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "800m", body(1, 3, 5, 7)); err != nil {
+			t.Fatal(err)
+		}
 	}
-	defer c.Close()
-	if _, _, _, err := proto.ReadFrame(c, nil, 1<<10); err != nil {
-		t.Fatal(err)
+	if g, err := w.ask("stuck", "narrow", "800m", body(1)); err != nil || g.status != 200 {
+		t.Errorf("%+v %v", g, err)
 	}
-	io.WriteString(c, "\x40\x00\x00\x00Ox.1")
-	p := s.parts[0]
-	for l := p.tries[0].lane; !l.conn.Midway(); {
-		runtime.Gosched()
+	if _, most := w.book.Copies(); most != 1 {
+		t.Errorf("%d of one part out at once", most)
 	}
-	o.giveUp(p, 0, brain.Undone)
-	(<-o.events)() // that the connection is closed
-	if o.fleet.lanes != 0 || p.tries[0].out {
-		t.Error("the connection goes on")
+}
+
+// The same in many seeded orders: searchers that read late, not at all, stop in the midst of an answer, answer no
+// probes, break, are slow, all at once, with dozens of scans in hand. Each world's close looks for second copies.
+func TestNoSecondCopyInAnyOrder(t *testing.T) {
+	const worlds, scans = 20, 50
+	var all sync.WaitGroup
+	for seed := range worlds {
+		all.Go(func() {
+			dice := rand.New(rand.NewSource(int64(seed)))
+			fate := rand.New(rand.NewSource(int64(seed) + 1000)) // used under the world's lock
+			bad := dice.Float64() * 0.3
+			w := start(t, 5, func(int, int, proto.Call) standin.Reply {
+				ms := func(n int) time.Duration { return time.Duration(fate.Intn(n)) * time.Millisecond }
+				r := standin.Reply{End: 200, After: ms(15)}
+				if fate.Float64() >= bad {
+					return r
+				}
+				switch fate.Intn(8) {
+				case 0:
+					r.Silent, r.Late = true, ms(200)
+				case 1:
+					r.Late = ms(200)
+				case 2:
+					r.Silent, r.Mute = true, true
+				case 3: // never reads again
+					r.Silent, r.Late = true, time.Hour
+				case 4: // stops in the midst of an answer, and may read on later
+					r.Junk, r.Late = []byte("\x40\x00\x00\x00Ox.1"), ms(400)
+				case 5:
+					r.Reset, r.Half = true, fate.Intn(2) == 0
+				case 6:
+					r.Junk, r.Late = []byte("\xff\xff\xff\xffO"), ms(100)
+				case 7:
+					r.End = 503
+				}
+				return r
+			}, nil)
+			var asks sync.WaitGroup
+			for i := range scans {
+				id, class := fmt.Sprintf("w%d-%d", seed, i), []string{"wide", "narrow", "keyed", "once"}[i%4]
+				shards := dice.Perm(10)[:1+dice.Intn(4)]
+				asks.Go(func() {
+					g, err := w.ask(id, class, "500m", body(shards...))
+					if msg := w.judge(id, class, shards, g, err, time.Now()); msg != "" {
+						t.Errorf("seed %d, %s %s: %s", seed, class, id, msg)
+					}
+				})
+			}
+			asks.Wait()
+			w.close()
+		})
 	}
-	if b, _ := io.ReadAll(c); len(b) > 0 {
-		t.Errorf("sent on it: %q", b)
+	all.Wait()
+}
+
+// What ends without its searcher's word stays out till its scan has ended, and is then let go; with that word it
+// ends at once. What is left with copies allowed, or once its scan is over, waits for nobody.
+func TestInDoubtTillTheScanEnds(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		heard, copies, isOver bool
+		outAfter              [2]bool // after this mixer's end of the connection, and after the connection is gone
+	}{
+		{"no word", false, false, false, [2]bool{true, true}},
+		{"word", true, false, false, [2]bool{true, false}},
+		{"copies", false, true, false, [2]bool{}},
+		{"over", false, false, true, [2]bool{}},
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := w0(t)
+		m.cfg.Settings.Brain.SecondCopies = c.copies
+		m.lim.Link.Linger = 5 * time.Second
+		if !c.heard {
+			m.lim.Link.Linger = 20 * time.Millisecond
+		}
+		o := newOwner(ctx, &m.cfg, m.lim, zap.NewNop(), nil)
+		o.list(brain.Whole, proto.List{Hosts: []proto.Host{{Name: "a", Addr: ln.Addr().String(), Cell: 1, Weight: 1}}})
+		s := onePart("x")
+		o.admit(s, time.Now())
+		o.flush()
+		conn, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := proto.ReadFrame(conn, nil, 1<<10); err != nil {
+			t.Fatal(err)
+		}
+		p := s.parts[0]
+		for l := p.tries[0].lane; !l.conn.Ran(p.tries[0].seq); {
+			runtime.Gosched()
+		}
+		if c.isOver {
+			o.left(s)
+		}
+		p.tries[0].lane.conn.Fail(errNeverAsked)
+		var out [2]bool
+		for i := range out {
+			(<-o.events)()
+			if out[i] = p.tries[0].out; c.heard && i == 0 {
+				conn.Close()
+			}
+		}
+		if out != c.outAfter || o.fleet.lanes != 0 {
+			t.Errorf("%s: out %v, %d connections", c.name, out, o.fleet.lanes)
+		}
+		if !c.isOver {
+			o.left(s)
+		}
+		for _, f := range o.later {
+			f()
+		}
+		if len(o.book.parts) > 0 || p.tries[0].out || p.live != 0 {
+			t.Errorf("%s: parts are left", c.name)
+		}
+		conn.Close()
+		ln.Close()
+		cancel()
 	}
 }
 
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -156,12 +156,13 @@
 	}
 }
 
-// Answered, Told and Closed come from the connections' goroutines.
+// Answered, Told, Closing and Closed come from the connections' goroutines.
 func (l *lane) Answered(_ *link.Conn, a proto.Answer, more bool) {
 	l.o.post(func() { l.o.answered(l, a, more) })
 }
 func (l *lane) Told(_ *link.Conn, seqs []uint64) { l.o.post(func() { l.o.givenUp(l, seqs) }) }
-func (l *lane) Closed(_ *link.Conn, why error)   { l.o.post(func() { l.o.closed(l, why) }) }
+func (l *lane) Closing(_ *link.Conn, why error)  { l.o.post(func() { l.o.closing(l, why) }) }
+func (l *lane) Closed(_ *link.Conn, heard bool)  { l.o.post(func() { l.o.closed(l, heard) }) }
 
 // timers is a heap of what is due, earliest first, in the order of setting where times are equal.
 type timers struct {
--- a/mixer/relay.go
+++ b/mixer/relay.go
@@ -3,18 +3,21 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"peathollow/brain"
+	"peathollow/internal/link"
 	"peathollow/internal/proto"
 )
 
 // The fifth stage: what searchers say goes to the module, and what it settles becomes the client's answer.
 
 func (o *owner) answered(l *lane, a proto.Answer, more bool) {
+	l.heard = o.now
 	p := o.book.byWire[a.ID]
 	no, ok := l.out[p]
 	if !ok {
@@ -28,6 +31,13 @@
 	if more && len(l.out) == 1 && !l.past.anyDue() {
 		l.retire()
 	}
+	// Who answers a part has read what came before it, on this connection.
+	if seq := p.tries[no].seq; len(l.kills) > 0 {
+		before := slices.Collect(maps.Keys(l.kills))
+		before = slices.DeleteFunc(before, func(k uint64) bool { return k > seq })
+		slices.Sort(before)
+		o.givenUp(l, before)
+	}
 	if a.End == brain.Pass && !p.in && !p.over {
 		p.in, p.value, p.score = true, a.Value, a.Score
 		o.book.open--
@@ -37,29 +47,54 @@
 
 var errNeverAsked = errors.New("answer to a part never asked on this connection")
 
-// closed ends what was out on a connection: what was not written whole never ran.
-func (o *owner) closed(l *lane, why error) {
+// closing ends what was out on a connection that takes and believes nothing more: what was not written whole never
+// ran. What was is known to have ended only with the searcher's own end, and stays out till then where it may go
+// elsewhere and copies are barred.
+func (o *owner) closing(l *lane, why error) {
+	l.retired, l.ended, l.lost = true, true, brain.Cut
+	if errors.Is(why, link.ErrMute) {
+		l.lost = brain.Undone // by this mixer
+	}
+	if len(l.out) > 0 {
+		o.log.Warn("connection lost", zap.String("searcher", l.s.host.Name), zap.Int("parts", len(l.out)), zap.Error(why))
+	}
+	for _, p := range l.held() {
+		if no := l.out[p]; !l.conn.Ran(p.tries[no].seq) {
+			o.returned(p, no, brain.NoRoute)
+		} else if !o.single(p) {
+			o.returned(p, no, p.tries[no].lostAs())
+		}
+	}
+}
+
+// closed follows when a connection is gone. What is out on one whose searcher has not ended it as well may run yet,
+// any time: it stays out till its scan ends, and goes nowhere else.
+func (o *owner) closed(l *lane, heard bool) {
 	o.fleet.lanes--
 	l.s.lanes = slices.DeleteFunc(l.s.lanes, func(x *lane) bool { return x == l })
-	lost := make([]*part, 0, len(l.out))
-	for p := range l.out {
-		lost = append(lost, p)
+	l.gone = true
+	for _, p := range l.held() {
+		if no := l.out[p]; heard || !o.single(p) {
+			o.returned(p, no, p.tries[no].lostAs())
+		}
 	}
-	if len(lost) == 0 {
-		return
+	if n := len(l.out); n > 0 {
+		o.book.tally.doubt += n
+		o.log.Warn("no word of what was out", zap.String("searcher", l.s.host.Name), zap.Int("parts", n))
 	}
-	o.log.Warn("connection lost", zap.String("searcher", l.s.host.Name), zap.Int("parts", len(lost)), zap.Error(why))
-	slices.SortFunc(lost, func(a, b *part) int { return cmp.Compare(a.id, b.id) })
-	for _, p := range lost {
-		no := l.out[p]
-		end := brain.NoRoute
-		if t := &p.tries[no]; l.conn.Ran(t.seq) {
-			if end = brain.Cut; t.end != brain.Stale {
-				end = t.end
-			}
-		}
-		o.returned(p, no, end)
+}
+
+// held are the parts out on a connection, oldest first.
+func (l *lane) held() []*part {
+	return slices.SortedFunc(maps.Keys(l.out), func(a, b *part) int { return cmp.Compare(a.id, b.id) })
+}
+
+// lostAs is how a dispatch ends that was out on a connection when that broke.
+func (t *try) lostAs() brain.Outcome {
+	if t.end != brain.Stale {
+		return t.end
 	}
+	return t.lane.lost
 }
 
 // Complete is an action of the module. In a table type with a second step the first such answer picks the
--- a/mixer/route.go
+++ b/mixer/route.go
@@ -33,11 +33,21 @@
 	o       *owner
 	s       *searcher
 	conn    *link.Conn
-	out     map[*part]int    // and the number of its try
-	kills   map[uint64]*part // by the frame that gives it up
+	out     map[*part]int     // and the number of its try
+	kills   map[uint64]killed // by the frame that gives it up
 	past    past
 	used    time.Duration
+	heard   time.Duration // when its searcher last said anything on it
 	retired bool
+	ended   bool          // nothing more is sent or believed; what is out waits for the searcher's end
+	gone    bool          // the connection is closed
+	lost    brain.Outcome // how what was out when it ended has ended
+}
+
+// killed is a dispatch on its way to be given up.
+type killed struct {
+	p  *part
+	no int
 }
 
 // past knows the last parts that were out on a connection. A late answer and a second copy are told by it from the
@@ -182,7 +192,7 @@
 	var least *lane
 	live := 0
 	for _, l := range s.lanes {
-		if l.retired {
+		if l.retired || l.conn.Shut() {
 			continue
 		}
 		if len(l.out)+parts <= o.lim.Parts {
@@ -195,7 +205,7 @@
 	if live >= o.lim.PerSearcher || o.fleet.lanes >= o.lim.Lanes {
 		return least
 	}
-	l := &lane{o: o, s: s, out: map[*part]int{}, kills: map[uint64]*part{}, used: o.now}
+	l := &lane{o: o, s: s, out: map[*part]int{}, kills: map[uint64]killed{}, used: o.now}
 	l.conn = link.Open(o.ctx, s.host.Addr, o.lim.Link, l)
 	s.lanes = append(s.lanes, l)
 	o.fleet.lanes++
--- a/mixer/send.go
+++ b/mixer/send.go
@@ -92,8 +92,9 @@
 	}
 }
 
-// giveUp stops waiting for a dispatch. Its end is told only once the searcher has been told: what goes out
-// elsewhere before that would be a second copy.
+// giveUp stops waiting for a dispatch. Its end is told once the searcher is known to have heard, where the part may
+// go elsewhere and copies are barred: nothing orders what is written on two connections, and what goes out elsewhere
+// before that may be a second copy.
 func (o *owner) giveUp(p *part, no int, end brain.Outcome) {
 	t := &p.tries[no]
 	if !t.out || t.end != brain.Stale {
@@ -105,19 +106,23 @@
 		o.returnLater(p, no, brain.Stale)
 	case !o.set.MayCancel:
 		o.returnLater(p, no, end)
-	case t.lane.conn.Midway():
-		// A connection that stops in the midst of an answer is likely spoilt, and word of giving up on it not read:
-		// the part would count as out while it goes elsewhere. Its end is heard in any case.
-		t.lane.conn.Close()
+	case t.lane.ended:
+		// Its end is awaited already.
 	default:
-		if seq, ok := t.lane.conn.GiveUp(p.wire); ok {
-			t.lane.kills[seq] = p
+		// With nothing heard since the part went out the connection itself is in doubt, and asked for the sake of
+		// those that follow.
+		proof := o.single(p) || t.lane.heard < t.at
+		if seq, ok := t.lane.conn.GiveUp(p.wire, proof); ok {
+			t.lane.kills[seq] = killed{p, no}
 		} else {
 			t.lane.conn.Close()
 		}
 	}
 }
 
+// single tells that a part may go out again, and then only when no dispatch of it is out.
+func (o *owner) single(p *part) bool { return !p.over && !o.set.Brain.SecondCopies }
+
 // recall takes back what has not left when a step ends: nothing of a scan goes out after its final answer.
 func (o *owner) recall(p *part) {
 	for no := range p.tries {
@@ -131,17 +136,14 @@
 // is out of its connection's queue.
 func (t *try) takeBack(p *part) bool { return t.lane == nil || t.lane.conn.Recall(t.seq, p.wire) }
 
-// givenUp follows when frames that give parts up are written. Those of one write share a clock reading: parts
-// called off together must read as one failure of their searcher, or it would be kept off for far too long.
+// givenUp follows when frames that give parts up have ended. Those of one write share a clock reading: parts called
+// off together must read as one failure of their searcher, or it would be kept off for far too long.
 func (o *owner) givenUp(l *lane, seqs []uint64) {
 	for _, seq := range seqs {
-		p := l.kills[seq]
+		k, ok := l.kills[seq]
 		delete(l.kills, seq)
-		if p == nil {
-			continue
-		}
-		if no, ok := l.out[p]; ok {
-			o.returned(p, no, p.tries[no].end)
+		if ok && k.p.tries[k.no].out {
+			o.returned(k.p, k.no, k.p.tries[k.no].end)
 		}
 	}
 }
