The wait for what is out grows with a scan's width, so narrow ones pass and wide ones wait

Cause: Mixer.wait (brain.go) counted what is out once for every scan.

Change: the factor grows with the scan's parts beside the mean of all scans.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -241,7 +241,7 @@
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
-	return m.wait(max(1, c.ratio.v))*poor < admitShare*left
+	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < admitShare*left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
@@ -265,17 +265,19 @@
 	return max(m.lat.v, float64(m.out)/max(m.peak, eps))
 }
 
-// wait is how long a scan would take that takes so many part latencies: of the smoothed one, or of less where
-// Little's law (parts out over parts passed a second) says less, lest a slow spell be remembered for ever. In
-// quiet hours the law alone would not do; where other mixers alone keep the searchers busy it lets the first
-// scans in. What is out drains once, if unevenly, however many latencies a scan takes: counted as often, two
-// wide scans at once had narrow ones turned away by a half idle fleet. It could let in more as a jam begins.
-func (m *Mixer) wait(ratio float64) float64 {
+// wait is how long a scan would take that takes so many part latencies and is so many times as wide as others: of
+// the smoothed one, or of less where Little's law (parts out over parts passed a second) says less, lest a slow
+// spell be remembered for ever. In quiet hours the law alone would not do; where other mixers alone keep the
+// searchers busy it lets the first scans in. What is out drains once for a narrow scan: counted for each of its
+// latencies, two wide ones at once had narrow ones turned away by a half idle fleet. A wide one meets all that is
+// out at nearly every searcher, and its slowest part the worst of it: for it the wait grows with its width. It could
+// turn wide scans away by a fleet that is jammed in one place.
+func (m *Mixer) wait(ratio, wide float64) float64 {
 	if m.carried == 0 {
 		return 0
 	}
 	law := float64(m.out) / max(m.rate.v, m.carried*float64(m.ready)/2)
-	return min(max(m.lat.v*ratio, min(ratio, unevenMost)*m.press()), ratio*law)
+	return min(max(m.lat.v*ratio, min(ratio, unevenMost*max(1, wide))*m.press()), ratio*law)
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
