--- /dev/null
+++ b/cmd/peathollow/duties.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"peathollow/duty"
+	"peathollow/duty/dutysim"
+)
+
+func duties() *cobra.Command {
+	c := &cobra.Command{Use: "duties", Short: "Periodic duties shared among mixers"}
+	c.AddCommand(dutiesSimulate(), dutiesShow(), dutiesKey())
+	return c
+}
+
+func dutiesSimulate() *cobra.Command {
+	var s dutysim.Setup
+	var seed uint64
+	var seeds int
+	var asJSON bool
+	c := &cobra.Command{Use: "simulate", Short: "Play histories of many mixers in simulated time and check the bounds", Args: cobra.NoArgs,
+		Long: "Plays seeded histories in simulated time and checks, by what went out: no reader is probed twice as often as\n" +
+			"intended in any window, and each is reached within the stated gap. Scenarios: " + strings.Join(dutysim.Scenarios, ", ") +
+			", or all.\nExits 1 on a violation.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			switch {
+			case s.Instances < 1 || s.Instances > 1024:
+				return fmt.Errorf("--instances %d: 1 to 1024", s.Instances)
+			case s.Readers < 1 || s.Readers > 100_000:
+				return fmt.Errorf("--readers %d: 1 to 100000", s.Readers)
+			case s.Interval < 100*time.Millisecond || s.Interval > time.Hour:
+				return fmt.Errorf("--interval %v: 100ms to 1h", s.Interval)
+			case s.Lease != 0 && s.Lease < 200*time.Millisecond:
+				return fmt.Errorf("--lease %v: 200ms or more", s.Lease)
+			case seeds < 1:
+				return fmt.Errorf("--seeds %d: 1 or more", seeds)
+			case s.Length < 0:
+				return fmt.Errorf("--length %v: not below 0", s.Length)
+			}
+			if s.Policy == "core" {
+				s.Policy = ""
+			}
+			scenarios := []string{s.Scenario}
+			if s.Scenario == "all" {
+				scenarios = dutysim.Scenarios
+			}
+			bad := 0
+			for k, name := range scenarios {
+				s.Scenario = name
+				r, err := dutysim.PlayAll(s, seed, seeds, progress(c.ErrOrStderr(), name, seeds))
+				if err != nil {
+					return err
+				}
+				bad += r.Violations
+				if asJSON {
+					if err := json.NewEncoder(c.OutOrStdout()).Encode(r); err != nil {
+						return err
+					}
+					continue
+				}
+				printReport(c.OutOrStdout(), r, k == 0)
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d violations: %w", bad, exitCode(1))
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.IntVar(&s.Instances, "instances", 3, "mixers")
+	f.IntVar(&s.Readers, "readers", 12, "readers to be probed")
+	f.DurationVar(&s.Interval, "interval", time.Second, "between probes of a reader")
+	f.DurationVar(&s.Lease, "lease", 0, "of a share; 0 for half the interval")
+	f.StringVar(&s.Scenario, "scenario", "mixed", "what happens")
+	f.StringVar(&s.Policy, "policy", "core", "core, or a baseline: all (everyone probes all), view (rendezvous by view)")
+	f.StringVar(&s.Plant, "plant", "", "plant a fault: "+strings.Join(dutysim.Plants, ", "))
+	f.DurationVar(&s.Length, "length", 0, "of a history, simulated; 0 for three rate windows")
+	f.Uint64Var(&seed, "seed", 1, "of the first history")
+	f.IntVar(&seeds, "seeds", 100, "histories, of seeds in a row")
+	f.BoolVar(&asJSON, "json", false, "print one object for each scenario")
+	return c
+}
+
+// progress tells how far a long call is, at most twice a second.
+func progress(w io.Writer, name string, of int) func(int) {
+	next := time.Now().Add(2 * time.Second)
+	return func(done int) {
+		if now := time.Now(); now.After(next) && done < of {
+			next = now.Add(500 * time.Millisecond)
+			fmt.Fprintf(w, "\r%s: %d of %d histories ", name, done, of)
+		} else if done == of && now.After(next.Add(-500*time.Millisecond)) {
+			fmt.Fprint(w, "\r")
+		}
+	}
+}
+
+func printReport(w io.Writer, r dutysim.Report, head bool) {
+	if head {
+		fmt.Fprintf(w, "%s, simulated: %d mixers, %d readers, every %v, lease %v, %d histories each\n", r.Policy, r.Instances, r.Readers,
+			time.Duration(r.IntervalMS*1e6), time.Duration(r.LeaseMS*1e6), r.Histories)
+		fmt.Fprintf(w, "%-8s %10s %10s %10s %10s %8s %9s %10s %9s\n", "scenario", "violations", "worst gap", "bound", "worst rate", "at once",
+			"probes/s", "bytes/s", "msgs/s")
+	}
+	fmt.Fprintf(w, "%-8s %10d %9.2fs %9.2fs %9.2fx %8d %9.3f %10.0f %9.1f\n", r.Scenario, r.Violations, r.WorstGapMS/1e3, r.GapBoundMS/1e3,
+		r.WorstRate, r.MostAtOnce, r.ProbesPerS, r.BytesPerS, r.MessagesPer)
+	if r.First != "" {
+		fmt.Fprintln(w, "  first:", r.First)
+	}
+}
+
+func dutiesShow() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{Use: "show SOCKET", Short: "Show who has which duty, since when and why, as one running mixer sees it",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			h := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
+				DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					var d net.Dialer
+					return d.DialContext(ctx, "unix", args[0])
+				}}}
+			res, err := h.Get("http://mixer/")
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			defer res.Body.Close()
+			if asJSON {
+				_, err := io.Copy(c.OutOrStdout(), res.Body)
+				return err
+			}
+			var s struct {
+				Name   string
+				Counts duty.Counts
+				Rows   []duty.Row
+			}
+			if err := json.NewDecoder(res.Body).Decode(&s); err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: %+v\n", s.Name, s.Counts)
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(t, "kind\ttarget\tholder\tsince\tlast\tby\toutcome\ttook\tload\tdue here in\twhy")
+			for _, r := range s.Rows {
+				last, since := "never", "-"
+				if r.Last >= 0 {
+					last = round(r.Last) + " ago"
+				}
+				if r.Since > 0 {
+					since = round(r.Since)
+				}
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%v\t%s\t%s\t%s\t%s\n", r.Kind, r.Target, dash(r.Holder), since, last, dash(r.Witness),
+					r.Outcome, round(r.Took), dash(r.Load), round(r.Due), r.Why)
+			}
+			return t.Flush()
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "print what the mixer says as it is")
+	return c
+}
+
+func round(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func dutiesKey() *cobra.Command {
+	return &cobra.Command{Use: "key", Short: "Print a new key for a key file", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			b := make([]byte, 32)
+			if _, err := rand.Read(b); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), base64.StdEncoding.EncodeToString(b))
+			return nil
+		}}
+}
--- /dev/null
+++ b/cmd/peathollow/duties_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"peathollow/internal/proto"
+	"peathollow/internal/standin"
+)
+
+// Three processes share the probes of four readers; one is killed outright, another stopped and continued. Each reader
+// goes on being probed, and over all of it in no window of eight intervals twice as often as intended. Times come from
+// the readers' side; waits only end what would never come.
+func TestThreeProcessesKilledAndStopped(t *testing.T) {
+	const interval = 400 * time.Millisecond
+	f, err := standin.NewFleet(4, func(int, proto.Call) standin.Reply { return standin.Reply{End: 200} }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	var mu sync.Mutex
+	at := make([][]time.Time, 4)
+	for i, s := range f.Searchers {
+		s.Probed(func(byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			at[i] = append(at[i], time.Now())
+		})
+	}
+	since := func(from time.Time, n int) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, seen := range at {
+			k := 0
+			for _, x := range seen {
+				if x.After(from) {
+					k++
+				}
+			}
+			if k < n {
+				return false
+			}
+		}
+		return true
+	}
+	until := func(what string, from time.Time, n int) {
+		t.Helper()
+		for over := time.Now().Add(30 * time.Second); !since(from, n); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(over) {
+				t.Fatalf("%s: not all readers probed %d times", what, n)
+			}
+		}
+	}
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	keys := file("keys", base64.StdEncoding.EncodeToString(make([]byte, 32)))
+	var binds []string
+	for range 3 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		binds = append(binds, ln.Addr().String())
+		ln.Close()
+	}
+	var all []*exec.Cmd
+	for i := range 3 {
+		name := fmt.Sprint("m", i)
+		config := strings.Replace(string(f.Config(nil)), `"name": "n0"`, `"name": "`+name+`"`, 1)
+		ini := file(name+".ini", fmt.Sprintf("[members]\nbind = %s\nseeds = %s\nkeys = %s\n[duties]\non = yes\ninterval = %v\nyoung = 0s\n",
+			binds[i], strings.Join(binds, ","), keys, interval))
+		c := exec.Command(os.Args[0], "serve", "--settings", ini)
+		c.Env = append(os.Environ(), "PEATHOLLOW_TEST_PROGRAM=1", "ROUTER_CONFIG="+file(name+".json", config))
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { c.Process.Kill(); c.Wait() }()
+		all = append(all, c)
+	}
+	until("three", time.Time{}, 6)
+	all[0].Process.Signal(syscall.SIGKILL)
+	until("one killed", time.Now(), 3)
+	all[1].Process.Signal(syscall.SIGSTOP)
+	until("one killed, one stopped", time.Now(), 1) // by turns of the last
+	all[1].Process.Signal(syscall.SIGCONT)
+	until("continued", time.Now(), 4)
+	all[1].Process.Signal(syscall.SIGTERM)
+	if err := all[1].Wait(); err != nil {
+		t.Errorf("SIGTERM: %v", err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for i, seen := range at {
+		for k := range seen {
+			n := 0
+			for j := k; j < len(seen) && seen[j].Sub(seen[k]) < 8*interval; j++ {
+				n++
+			}
+			if n >= 16 {
+				t.Errorf("reader %d probed %d times in eight intervals", i, n)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/peathollow/try.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"peathollow/internal/proto"
+	"peathollow/internal/standin"
+	"peathollow/mixer"
+)
+
+func try() *cobra.Command {
+	var t trial
+	c := &cobra.Command{Use: "try", Short: "Start a mixer beside toy searchers on this machine, send it scans, show what became of them",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if t.rate < 1 || t.rate > 500 {
+				return fmt.Errorf("--rate %d: 1 to 500", t.rate)
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			if t.length > 0 {
+				var end context.CancelFunc
+				ctx, end = context.WithTimeout(ctx, t.length)
+				defer end()
+			}
+			return t.run(ctx, c.OutOrStdout())
+		}}
+	c.Flags().DurationVar(&t.length, "for", 0, "end by itself after this time; 0 till Ctrl-C")
+	c.Flags().IntVar(&t.rate, "rate", 20, "scans a second")
+	c.Flags().BoolVar(&t.trouble, "trouble", false, "one of the four searchers takes parts and answers none")
+	return c
+}
+
+// trial is one go at it, and what was seen.
+type trial struct {
+	length  time.Duration
+	rate    int
+	trouble bool
+
+	mu    sync.Mutex
+	sent  int
+	ends  map[string]int
+	took  time.Duration
+	worst time.Duration
+	fault error
+}
+
+func (t *trial) run(ctx context.Context, out io.Writer) error {
+	t.ends = map[string]int{}
+	fleet, err := standin.NewFleet(4, func(srv int, _ proto.Call) standin.Reply {
+		return standin.Reply{End: 200, After: time.Duration(2+rand.IntN(20)) * time.Millisecond, Silent: t.trouble && srv == 3}
+	}, nil)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	env := func(key string) string { return map[string]string{"ROUTER_CONFIG": "embedded"}[key] }
+	cfg, err := mixer.Load(env, func(string) ([]byte, error) { return fleet.Config(nil), nil })
+	if err != nil {
+		return err
+	}
+	m, err := mixer.New(cfg, zap.NewNop())
+	if err != nil {
+		return err
+	}
+	serving, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- m.Serve(serving, ln) }()
+	base := "http://" + ln.Addr().String()
+	fmt.Fprintf(out, "a mixer at %s, discovery at %s, four toy searchers; %d scans a second\n", ln.Addr(), fleet.Discovery.Addr(), t.rate)
+	if err := ready(ctx, base); err == nil {
+		t.ask(ctx, base, out)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.show(out)
+	if answered := t.ends["completed"] + t.ends["throttled"] + t.ends["abandoned"]; answered < t.sent {
+		return fmt.Errorf("%d of %d scans got no answer; the first: %w", t.sent-answered, t.sent, t.fault)
+	}
+	return nil
+}
+
+func ready(ctx context.Context, base string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/ready", nil)
+		if err != nil {
+			return err
+		}
+		if res, err := http.DefaultClient.Do(req); err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// ask sends scans till the context ends, and waits for those in hand.
+func (t *trial) ask(ctx context.Context, base string, out io.Writer) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	tick, line := time.NewTicker(time.Second/time.Duration(t.rate)), time.NewTicker(time.Second)
+	defer tick.Stop()
+	defer line.Stop()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-line.C:
+			t.mu.Lock()
+			t.show(out)
+			t.mu.Unlock()
+			continue
+		case <-tick.C:
+		}
+		t.mu.Lock()
+		t.sent++
+		t.mu.Unlock()
+		all.Go(func() { t.scan(client, base, n) })
+	}
+}
+
+func (t *trial) scan(client *http.Client, base string, n int) {
+	class := []string{"wide", "narrow", "keyed", "once"}[n%4]
+	count := map[string]int{"wide": 6, "narrow": 3, "keyed": 2, "once": 1}[class]
+	var parts []string
+	for _, shard := range rand.Perm(8)[:count] {
+		parts = append(parts, fmt.Sprintf(`{"id":%d,"w":%g}`, shard, 1/float64(count)))
+	}
+	body := `{"parts":[` + strings.Join(parts, ",") + `],"expr":"c41e77d0"}`
+	began := time.Now()
+	end, err := send(client, base+"/"+class, fmt.Sprintf("try-%d", n), body)
+	took := time.Since(began)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.fault = errors.Join(t.fault, err)
+		return
+	}
+	t.ends[end]++
+	t.took += took
+	t.worst = max(t.worst, took)
+}
+
+func send(client *http.Client, url, id, body string) (string, error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	for k, v := range map[string]string{"Req-Id": id, "Req-Owner": "acme", "Req-Deadline": "800m", "Idempotency-Key": id} {
+		req.Header.Set(k, v)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return "", err
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		if !json.Valid(text) {
+			return "", fmt.Errorf("%s: an answer that is none: %.100q", id, text)
+		}
+		return "completed", nil
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return "throttled", nil
+	case http.StatusInternalServerError:
+		return "abandoned", nil
+	}
+	return "", fmt.Errorf("%s: status %d: %.100q", id, res.StatusCode, text)
+}
+
+func (t *trial) show(out io.Writer) {
+	n := t.ends["completed"] + t.ends["throttled"] + t.ends["abandoned"]
+	mean := time.Duration(0)
+	if n > 0 {
+		mean = t.took / time.Duration(n)
+	}
+	fmt.Fprintf(out, "%5d scans: %d completed, %d throttled, %d abandoned; mean %v, worst %v\n", t.sent, t.ends["completed"], t.ends["throttled"],
+		t.ends["abandoned"], mean.Round(100*time.Microsecond), t.worst.Round(100*time.Microsecond))
+}
--- /dev/null
+++ b/duty/message_test.go
@@ -0,0 +1,104 @@
+package duty
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawMessage(t *rapid.T) Message {
+	m := Message{Kind: MessageKind(rapid.IntRange(1, int(messageKinds)-1).Draw(t, "kind")), From: rapid.StringN(0, 9, nameMost).Draw(t, "from"),
+		Inc: rapid.Uint64().Draw(t, "inc"), Instances: rapid.IntRange(0, instancesMost).Draw(t, "n"), Seq: rapid.Uint64().Draw(t, "seq"),
+		To: rapid.StringN(0, 9, nameMost).Draw(t, "to")}
+	at := 0
+	for range rapid.IntRange(0, 20).Draw(t, "shares") {
+		if at += rapid.IntRange(1, 300).Draw(t, "step"); at < sharesMost {
+			m.Shares = append(m.Shares, uint16(at))
+		}
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "results") {
+		span := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(ageMost/time.Microsecond)).Draw(t, name)) * time.Microsecond
+		}
+		m.Results = append(m.Results, Result{Kind: rapid.IntRange(0, 255).Draw(t, "of"), ID: rapid.Uint64().Draw(t, "id"), Age: span("age"),
+			Took: span("took"), Outcome: Outcome(rapid.IntRange(0, 255).Draw(t, "outcome")), Load: rapid.StringN(0, 9, loadMost).Draw(t, "load")})
+	}
+	return m
+}
+
+func TestMessagesThereAndBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		b := m.Append(nil)
+		got, err := Read(b)
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%+v: %+v %v", m, got, err)
+		}
+		// Cut anywhere, or with anything behind, it is none.
+		if _, err := Read(b[:rapid.IntRange(0, len(b)-1).Draw(t, "cut")]); err == nil {
+			t.Fatal("cut short and believed")
+		}
+		if _, err := Read(append(b, 0)); err == nil {
+			t.Fatal("longer and believed")
+		}
+	})
+}
+
+func TestMessagesNotBelieved(t *testing.T) {
+	good := Message{Kind: Claim, From: "a", Inc: 1, Instances: 3, Seq: 1, Shares: []uint16{1, 2}}
+	other := good.Append(nil)
+	other[0]++
+	if _, err := Read(other); !errors.Is(err, ErrVersion) {
+		t.Error(err)
+	}
+	c, _ := alone(t, 3)
+	for name, edit := range map[string]func(m *Message){
+		"own name":     func(m *Message) { m.From = "me" },
+		"no name":      func(m *Message) { m.From = "" },
+		"long name":    func(m *Message) { m.From = strings.Repeat("x", nameMost+1) },
+		"other number": func(m *Message) { m.Instances = 5 },
+		"kind":         func(m *Message) { m.Kind = messageKinds },
+		"share":        func(m *Message) { m.Shares = []uint16{1, 9999} },
+		"order":        func(m *Message) { m.Shares = []uint16{2, 1} },
+		"twice":        func(m *Message) { m.Shares = []uint16{2, 2} },
+		"kind of duty": func(m *Message) { m.Kind, m.Results = Results, []Result{{Kind: 7}} },
+		"age":          func(m *Message) { m.Kind, m.Results = Results, []Result{{Age: -time.Second}} },
+		"very old":     func(m *Message) { m.Kind, m.Results = Results, []Result{{Age: 2 * ageMost}} },
+		"outcome":      func(m *Message) { m.Kind, m.Results = Results, []Result{{Outcome: outcomes}} },
+		"long load":    func(m *Message) { m.Kind, m.Results = Results, []Result{{Load: strings.Repeat("x", 99)}} },
+		"not listed":   func(m *Message) { m.Kind, m.Results = Results, []Result{{ID: 12345}} },
+	} {
+		m := good
+		edit(&m)
+		before := c.Counts()
+		c.Heard(m)
+		if after := c.Counts(); after.Foreign+after.Unknown != before.Foreign+before.Unknown+1 || after.Heard != before.Heard {
+			t.Errorf("%s: %+v", name, after)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add((&Message{Kind: Claim, From: "a", Inc: 7, Instances: 3, Seq: 9, Shares: []uint16{0, 5}}).Append(nil))
+	f.Add((&Message{Kind: Results, From: "b", Results: []Result{{ID: 1, Age: time.Second, Load: "inflight=1"}}}).Append(nil))
+	f.Add([]byte{version, byte(Grant), 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Read(b)
+		if err != nil {
+			return
+		}
+		if len(m.Shares)+13*len(m.Results) > len(b) {
+			t.Errorf("%d bytes hold %d shares and %d results", len(b), len(m.Shares), len(m.Results))
+		}
+		if again, err := Read(m.Append(nil)); err != nil || !reflect.DeepEqual(again, m) {
+			t.Errorf("%+v: %+v %v", m, again, err)
+		}
+		c, _ := alone(t, 3)
+		c.Heard(m)
+		c.Wake()
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	MemoryMB, Sockets       int
 	Known                   proto.List
 	Settings                Settings
+	Ours                    Ours
 	told                    map[string]string // what can't change without a start, by key as it is written
 }
 
@@ -66,8 +67,27 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// Load reads the file named by ROUTER_CONFIG. The other ROUTER_ variables stand in for what it leaves out.
+// Load reads the file named by ROUTER_CONFIG. The other ROUTER_ variables stand in for what it leaves out. A settings
+// file of ours comes with PEATHOLLOW_SETTINGS.
 func Load(env func(string) string, read func(string) ([]byte, error)) (Config, error) {
+	c, err := platform(env, read)
+	if err != nil {
+		return c, err
+	}
+	ours := env("PEATHOLLOW_SETTINGS")
+	if ours == "" {
+		c.Ours = Defaults()
+		return c, nil
+	}
+	text, err := read(ours)
+	if err != nil {
+		return c, fmt.Errorf("PEATHOLLOW_SETTINGS: %w", err)
+	}
+	c.Ours, err = ReadOurs(ours, text)
+	return c, err
+}
+
+func platform(env func(string) string, read func(string) ([]byte, error)) (Config, error) {
 	path := env("ROUTER_CONFIG")
 	if path == "" {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: not set")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -50,6 +50,25 @@
 	}
 }
 
+// Whole asks for the whole list once, beside the watch.
+func (w *Watcher) Whole(ctx context.Context) (proto.List, error) {
+	w.mu.Lock()
+	addr := w.addr
+	w.mu.Unlock()
+	tr := &http.Transport{MaxConnsPerHost: 1, DisableKeepAlives: true, DisableCompression: true}
+	defer tr.CloseIdleConnections()
+	return (&watch{addr: addr, lim: w.lim, http: http.Client{Transport: tr}}).next(ctx, true)
+}
+
+// Anew drops the watch in hand and begins one with the whole list.
+func (w *Watcher) Anew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leave != nil {
+		w.leave()
+	}
+}
+
 // Ask cuts a pause short.
 func (w *Watcher) Ask() {
 	select {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -27,6 +27,7 @@
 	Connect time.Duration // for a connection to come up
 	Write   time.Duration // for the searcher to take what is written
 	Rest    time.Duration // for a frame from a searcher that has begun
+	Word    int           // bytes of the answer to a probe
 	Keep    int           // bytes of a buffer that are kept for the next frame
 }
 
@@ -45,14 +46,34 @@
 	calls []proto.Call
 	stop  string // the id of a part that is given up, in place of calls
 	proof bool   // and the searcher is to say that it has read so
+	probe *Probe // in place of both
 	end   int    // where it ends among the bytes being written
 }
 
-// ask is a probe written behind frames that give parts up. What a searcher reads on one connection it reads in order,
-// so that its answer is the receipt for them.
+// ask is a probe that was written, maybe behind frames that give parts up. What a searcher reads on one connection it
+// reads in order, so that its answer is the receipt for them, whichever of several such probes it answers first.
 type ask struct {
-	seqs  []uint64
-	clock *time.Timer
+	letter byte
+	seqs   []uint64
+	probe  *Probe // nil once told, or where only a receipt is wanted
+	at     time.Time
+	clock  *time.Timer
+}
+
+// Probe is one look at a searcher. Permit is asked when its bytes are about to be written, and keeps them back if it
+// says no. Done is told once, from a goroutine of the connection's; neither may block.
+type Probe struct {
+	Load   bool          // asks for the load report, in place of a sign of life
+	Wait   time.Duration // for the answer
+	Permit func() bool
+	Done   func(Probed)
+}
+
+// Probed is what came of a probe.
+type Probed struct {
+	Sent, Answered bool
+	Took           time.Duration // from the write to the answer, or till it was given up
+	Word           string        // the answer as it came: 200 or 500, a load report, or -
 }
 
 // Conn is one connection, perhaps still coming up.
@@ -99,6 +120,12 @@
 	return c.put(frame{stop: id, proof: proof})
 }
 
+// Probe queues a probe; false, and nothing is told, if the connection takes no more.
+func (c *Conn) Probe(p Probe) bool {
+	_, ok := c.put(frame{probe: &p})
+	return ok
+}
+
 func (c *Conn) put(f frame) (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,11 +212,17 @@
 func (c *Conn) end(ctx context.Context, err error) {
 	c.Fail(err)
 	c.mu.Lock()
-	asked := c.asked
-	c.asked = nil
+	asked, queue := c.asked, c.queue
+	c.asked, c.queue = nil, nil
 	c.mu.Unlock()
-	for _, a := range asked {
-		a.clock.Stop()
+	for i := range asked {
+		asked[i].clock.Stop()
+		asked[i].tell(Probed{Sent: true})
+	}
+	for _, f := range queue {
+		if f.probe != nil {
+			f.probe.Done(Probed{})
+		}
 	}
 	c.ev.Closing(c, context.Cause(ctx))
 }
@@ -242,16 +275,22 @@
 		var proof []uint64
 		for i := range batch {
 			f := &batch[i]
-			if f.stop == "" {
+			switch {
+			case f.probe != nil:
+				buf = c.probe(buf, f.probe)
+			case f.stop == "":
 				buf = proto.AppendCalls(buf, now, f.calls...)
-			} else if buf = proto.AppendGiveUp(buf, f.stop); f.proof {
-				proof = append(proof, f.seq)
+			default:
+				if buf = proto.AppendGiveUp(buf, f.stop); f.proof {
+					proof = append(proof, f.seq)
+				}
 			}
 			f.end = len(buf)
 		}
 		if len(proof) > 0 {
-			buf = proto.AppendProbe(buf)
-			c.expect(proof) // before it is written: the answer may be read at once
+			buf = proto.AppendProbe(buf, proto.LetterProbe)
+			// Before it is written: the answer may be read at once.
+			c.expect(ask{letter: proto.LetterProbe, seqs: proof}, 0)
 		}
 		if err := nc.SetWriteDeadline(now.Add(c.lim.Write)); err != nil {
 			return err
@@ -278,30 +317,76 @@
 	}
 }
 
-// expect notes what a probe is the receipt for, and ends the connection if nothing at all is heard in time.
-func (c *Conn) expect(seqs []uint64) {
+// probe writes a probe, if it still may go.
+func (c *Conn) probe(b []byte, p *Probe) []byte {
+	if !p.Permit() {
+		p.Done(Probed{})
+		return b
+	}
+	letter := byte(proto.LetterProbe)
+	if p.Load {
+		letter = proto.LetterLoad
+	}
+	c.expect(ask{letter: letter, probe: p}, p.Wait)
+	return proto.AppendProbe(b, letter)
+}
+
+// expect notes a probe. It ends the connection if nothing at all is heard in time, or if so many go unanswered that
+// this searcher answers none.
+func (c *Conn) expect(a ask, wait time.Duration) {
 	before := c.heard.Load()
+	a.at = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.asked = append(c.asked, ask{seqs: seqs, clock: time.AfterFunc(c.lim.Receipt, func() {
+	p := a.probe
+	a.clock = time.AfterFunc(max(wait, c.lim.Receipt), func() {
 		if c.heard.Load() == before {
 			c.Fail(ErrMute)
 		}
-	})})
+		if p == nil {
+			return
+		}
+		// Its place stays: a late answer must not count for the next.
+		c.mu.Lock()
+		i := slices.IndexFunc(c.asked, func(x ask) bool { return x.probe == p })
+		if i >= 0 {
+			c.asked[i].probe = nil
+		}
+		c.mu.Unlock()
+		if i >= 0 {
+			p.Done(Probed{Sent: true, Took: max(wait, c.lim.Receipt)})
+		}
+	})
+	if c.asked = append(c.asked, a); len(c.asked) > c.lim.Queue {
+		go c.Fail(ErrMute) // the lock is held here
+	}
 }
 
-// receipt is the answer to the oldest probe.
-func (c *Conn) receipt() bool {
+// tell says what came of a probe, if that was not said yet.
+func (a *ask) tell(r Probed) {
+	if a.probe == nil {
+		return
+	}
+	r.Took = time.Since(a.at)
+	a.probe.Done(r)
+}
+
+// receipt is the answer to the oldest probe of its letter.
+func (c *Conn) receipt(letter byte, word string) bool {
 	c.mu.Lock()
-	if len(c.asked) == 0 {
+	i := slices.IndexFunc(c.asked, func(a ask) bool { return a.letter == letter })
+	if i < 0 {
 		c.mu.Unlock()
 		return false
 	}
-	a := c.asked[0]
-	c.asked = slices.Delete(c.asked, 0, 1)
+	a := c.asked[i]
+	c.asked = slices.Delete(c.asked, i, i+1)
 	c.mu.Unlock()
 	a.clock.Stop()
-	c.ev.Told(c, a.seqs)
+	a.tell(Probed{Sent: true, Answered: true, Word: word})
+	if len(a.seqs) > 0 {
+		c.ev.Told(c, a.seqs)
+	}
 	return true
 }
 
@@ -340,8 +425,11 @@
 			c.ev.Answered(c, a, r.Buffered() > 0)
 		case proto.LetterEnd:
 			return fmt.Errorf("%w: %.100q", errFrame, rest)
-		case proto.LetterProbe:
-			if !c.receipt() {
+		case proto.LetterProbe, proto.LetterLoad:
+			if len(rest) > c.lim.Word {
+				return fmt.Errorf("answer of %d bytes to a probe", len(rest))
+			}
+			if !c.receipt(letter, string(rest)) {
 				return errProbe
 			}
 		default:
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -37,7 +37,7 @@
 }
 
 var usual = Limits{Frame: 1 << 10, Queue: 10, Connect: 5 * time.Second, Write: 5 * time.Second, Rest: 5 * time.Second,
-	Receipt: 5 * time.Second, Linger: 5 * time.Second}
+	Receipt: 5 * time.Second, Linger: 5 * time.Second, Word: 256}
 
 func call(id string) []proto.Call {
 	return []proto.Call{{ID: id, Until: time.Now().Add(time.Second), Text: "x"}}
@@ -232,10 +232,52 @@
 
 // What answers a probe that was never sent is out of step.
 func TestAnAnswerToNoProbe(t *testing.T) {
-	s := searcher(t, func(proto.Call) standin.Reply { return standin.Reply{Junk: proto.AppendProbed(nil)} })
+	s := searcher(t, func(proto.Call) standin.Reply {
+		return standin.Reply{Junk: proto.AppendProbed(nil, proto.LetterProbe, "200")}
+	})
 	c, h := open(t, s.Addr(), usual)
 	c.Send(call("a"))
 	if err := <-h.closed; !errors.Is(err, errProbe) {
 		t.Error(err)
 	}
 }
+
+// A probe goes out only if it may at the write, is answered by its own letter, and is told once in any case.
+func TestProbesAreToldOnce(t *testing.T) {
+	s := searcher(t, func(c proto.Call) standin.Reply { return standin.Reply{Silent: true, Mute: true} })
+	lim := usual
+	lim.Receipt = 20 * time.Millisecond
+	for _, k := range []struct {
+		name string
+		load bool
+		may  bool
+		mute bool
+		want Probed
+	}{
+		{"life", false, true, false, Probed{Sent: true, Answered: true, Word: "200"}},
+		{"load", true, true, false, Probed{Sent: true, Answered: true, Word: "inflight=0,util=0.10"}},
+		{"not allowed", false, false, false, Probed{}},
+		{"mute", false, true, true, Probed{Sent: true}},
+	} {
+		c, _ := open(t, s.Addr(), lim)
+		if k.mute {
+			c.Send(call("a"))
+		}
+		done := make(chan Probed, 2)
+		asked := make(chan bool, 2)
+		if !c.Probe(Probe{Load: k.load, Permit: func() bool { asked <- true; return k.may }, Done: func(p Probed) { done <- p }}) {
+			t.Fatalf("%s: not taken", k.name)
+		}
+		got := <-done
+		if got.Took = 0; got != k.want || len(asked) != 1 {
+			t.Errorf("%s: %+v, asked %d times", k.name, got, len(asked))
+		}
+		c.Close()
+		if c.Probe(Probe{}) {
+			t.Errorf("%s: taken after the end", k.name)
+		}
+		if len(done) > 0 {
+			t.Errorf("%s: told twice", k.name)
+		}
+	}
+}
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -77,11 +77,15 @@
 	return seal(append(b, id...), at)
 }
 
-// AppendProbe writes a probe, which a searcher answers in the order it reads.
-func AppendProbe(b []byte) []byte { return append(b, 1, 0, 0, 0, LetterProbe) }
+// AppendProbe writes a probe of either letter.
+func AppendProbe(b []byte, letter byte) []byte { return append(b, 1, 0, 0, 0, letter) }
 
 // AppendProbed writes a searcher's answer to one.
-func AppendProbed(b []byte) []byte { return append(b, 4, 0, 0, 0, LetterProbe, '2', '0', '0') }
+func AppendProbed(b []byte, letter byte, word string) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, letter)
+	return seal(append(b, word...), at)
+}
 
 func seal(b []byte, at int) []byte {
 	binary.LittleEndian.PutUint32(b[at:], uint32(len(b)-at-4))
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -33,7 +33,8 @@
 	ln     net.Listener
 	reply  func(proto.Call) Reply
 	gaveUp func(id string)
-	ledger *Ledger // may be nil
+	ledger *Ledger           // may be nil
+	probed func(letter byte) // may be nil
 	mu     sync.Mutex
 	open   map[net.Conn]bool
 	all    sync.WaitGroup
@@ -78,6 +79,13 @@
 	s.ledger = l
 }
 
+// Probed has probes told, each as it is read.
+func (s *Searcher) Probed(f func(letter byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probed = f
+}
+
 // Break ends all connections there are.
 func (s *Searcher) Break() {
 	s.mu.Lock()
@@ -168,9 +176,19 @@
 					say(out)
 				}
 			}
-		case proto.LetterProbe:
+		case proto.LetterProbe, proto.LetterLoad:
+			word := "200"
+			if letter == proto.LetterLoad {
+				word = "inflight=0,util=0.10"
+			}
+			s.mu.Lock()
+			probed := s.probed
+			s.mu.Unlock()
+			if probed != nil {
+				probed(letter)
+			}
 			if !mute {
-				say(proto.AppendProbed(nil))
+				say(proto.AppendProbed(nil, letter, word))
 			}
 		case proto.LetterGiveUp:
 			book.End(string(rest), c)
--- /dev/null
+++ b/mixer/duties.go
@@ -0,0 +1,372 @@
+package mixer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peathollow/brain"
+	"peathollow/duty"
+	"peathollow/internal/discovery"
+	"peathollow/internal/link"
+	"peathollow/internal/member"
+	"peathollow/internal/proto"
+)
+
+// Duties shared with other instances, where the settings file turns them on: package duty decides, package member
+// carries what is said, probes go out on the mixer's own connections. Beside the stages of a scan, and off the
+// owner's way: the core stands behind a lock of its own that is held for microseconds, and whatever may wait is done
+// outside it.
+
+// The kinds of duty, in the core's order.
+const (
+	probeDuty = iota
+	auditDuty
+)
+
+const listTarget = "list"
+
+// minder drives the core.
+type minder struct {
+	lim   *Limits
+	log   *zap.Logger
+	o     *owner
+	watch *discovery.Watcher
+	group *member.Group
+	load  bool
+	start time.Time
+	kick  chan struct{}
+
+	mu   sync.Mutex
+	core *duty.Core
+	acts []func() // to be done once the lock is free
+}
+
+func newMinder(c *Config, lim *Limits, log *zap.Logger, o *owner, w *discovery.Watcher) (*minder, error) {
+	d := &c.Ours.Duties
+	inc := uint64(time.Now().UnixNano()) // higher at each start, as clocks go
+	m := &minder{lim: lim, log: log.Named("duties"), o: o, watch: w, load: d.Load, start: time.Now(),
+		kick: make(chan struct{}, 1)}
+	var err error
+	m.core, err = duty.New(duty.Settings{Me: c.Name, Inc: inc, Instances: d.Instances, Shares: lim.Shares, Lease: d.Lease,
+		Running: d.Running, Write: min(lim.Link.Write, d.Lease/4), Kinds: []duty.Kind{
+			probeDuty: {Name: "probe", Interval: d.Interval, Young: d.Young, Gentle: d.Gentle},
+			auditDuty: {Name: "audit", Interval: d.Audit, Gentle: 1},
+		}}, m, 0)
+	if err != nil {
+		return nil, fmt.Errorf("duties: %w", err)
+	}
+	m.core.Targets(auditDuty, []duty.Target{{Name: listTarget}})
+	if d.Instances > 1 {
+		g, err := member.Join(member.Config{Name: c.Name, Inc: inc, Bind: c.Ours.Members.Bind,
+			Seeds: c.Ours.Members.Seeds, Keys: c.Ours.Members.Keys}, lim.Members, m, log.Named("members"))
+		if err != nil {
+			return nil, err
+		}
+		m.mu.Lock() // the others may have spoken already
+		m.group = g
+		m.mu.Unlock()
+	}
+	return m, nil
+}
+
+func (m *minder) now() time.Duration { return time.Since(m.start) }
+
+// event hands something to the core, then does what that wants done.
+func (m *minder) event(f func(c *duty.Core)) {
+	m.mu.Lock()
+	m.core.At(m.now())
+	f(m.core)
+	m.mu.Unlock()
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run looks after what is due until the context ends.
+func (m *minder) run(ctx context.Context) {
+	clock := time.NewTimer(0)
+	defer clock.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.kick:
+		case <-clock.C:
+		}
+		m.mu.Lock()
+		m.core.At(m.now())
+		next := m.core.Wake()
+		acts := m.acts
+		m.acts = nil
+		m.mu.Unlock()
+		for _, f := range acts {
+			f()
+		}
+		clock.Reset(max(0, next-m.now()))
+	}
+}
+
+// Run, Send, Learned and Note are the core's actions; the lock is held.
+func (m *minder) Run(token uint64, kind int, target string) {
+	switch kind {
+	case probeDuty:
+		m.acts = append(m.acts, func() { m.probe(token, target) })
+	case auditDuty:
+		m.acts = append(m.acts, func() { go m.audit(token) })
+	}
+}
+
+func (m *minder) Send(to string, msg duty.Message) {
+	if m.group == nil {
+		return
+	}
+	b := msg.Append(nil)
+	m.acts = append(m.acts, func() { m.group.Send(to, b) })
+}
+
+func (m *minder) Learned(target string, r duty.Result, who string) {
+	if r.Kind != probeDuty {
+		return
+	}
+	answered := r.Outcome == duty.Reached
+	// The module may miss one: it decides without them for the most part, and the owner must not be waited for.
+	m.acts = append(m.acts, func() {
+		m.o.try(func() {
+			if i, ok := m.o.fleet.byName[target]; ok {
+				m.o.m.Probed(i, r.Age, answered)
+			}
+		})
+	})
+	m.log.Debug("probed", zap.String("searcher", target), zap.Stringer("outcome", r.Outcome), zap.Duration("took", r.Took),
+		zap.String("load", r.Load), zap.String("peer", who), zap.Duration("age", r.Age))
+}
+
+func (m *minder) Note(n duty.Note) {
+	level := zap.DebugLevel
+	if n.Event == duty.Woken || n.Event == duty.Ignored {
+		level = zap.WarnLevel
+	}
+	m.log.Log(level, n.Event.String(), zap.Int("share", n.Share), zap.String("peer", n.Peer))
+}
+
+// View and Message come from the group.
+func (m *minder) View(others map[string]uint64) {
+	m.event(func(c *duty.Core) { c.Members(others) })
+	m.log.Info("view", zap.Int("others", len(others)))
+}
+
+func (m *minder) Message(b []byte) {
+	msg, err := duty.Read(b)
+	if err != nil {
+		m.log.Warn("message not believed", zap.Error(err))
+		return
+	}
+	m.event(func(c *duty.Core) { c.Heard(msg) })
+}
+
+// targets sets which searchers there are; the owner calls it with each list.
+func (m *minder) targets(ts []duty.Target) {
+	m.event(func(c *duty.Core) { c.Targets(probeDuty, ts) })
+}
+
+func (m *minder) done(token uint64, out duty.Outcome, took time.Duration, load string) {
+	m.event(func(c *duty.Core) { c.Done(token, out, took, load) })
+}
+
+// probe has the owner put a probe on one of the searcher's connections. The permit is asked as its bytes are written.
+func (m *minder) probe(token uint64, target string) {
+	p := link.Probe{Load: m.load, Wait: m.lim.Probe,
+		Permit: func() bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return m.core.Permit(token, m.now())
+		},
+		Done: func(r link.Probed) {
+			out := duty.Failed
+			switch {
+			case !r.Sent:
+				out = duty.NotBegun
+			case r.Answered && r.Word == "500":
+				out = duty.Refused
+			case r.Answered:
+				out = duty.Reached
+			}
+			load := ""
+			if m.load && len(r.Word) <= m.lim.Load {
+				load = r.Word
+			}
+			m.done(token, out, r.Took, load)
+		}}
+	if !m.o.try(func() {
+		if !m.o.probe(target, p) {
+			m.done(token, duty.NotBegun, 0, "")
+		}
+	}) {
+		m.done(token, duty.NotBegun, 0, "")
+	}
+}
+
+// audit compares the whole list with the one watched. It is the second kind of duty: one instance asks what all would
+// have to, and where its own watch has gone astray it begins anew.
+func (m *minder) audit(token uint64) {
+	m.mu.Lock()
+	may := m.core.Permit(token, m.now())
+	m.mu.Unlock()
+	if !may {
+		m.done(token, duty.NotBegun, 0, "")
+		return
+	}
+	ctx, end := context.WithTimeout(m.o.ctx, m.lim.Audit)
+	defer end()
+	began := time.Now()
+	whole, err := m.watch.Whole(ctx)
+	took := time.Since(began)
+	if err != nil {
+		m.log.Warn("audit: no list", zap.Error(err))
+		m.done(token, duty.Failed, took, "")
+		return
+	}
+	m.o.post(func() {
+		wrong, same := m.o.differs(whole)
+		word := fmt.Sprintf("entries=%d,differ=%d", len(whole.Hosts), wrong)
+		if wrong > 0 {
+			m.log.Warn("audit: the list watched differs", zap.Int("entries", wrong), zap.Bool("sameVersion", same))
+		}
+		if wrong > 0 && same {
+			m.watch.Anew() // not merely behind
+		}
+		m.done(token, duty.Reached, took, word)
+	})
+}
+
+// leave hands duties over before the process ends.
+func (m *minder) leave() {
+	m.mu.Lock()
+	m.core.At(m.now())
+	m.core.Leave()
+	acts := m.acts
+	m.acts = nil
+	m.mu.Unlock()
+	for _, f := range acts {
+		f()
+	}
+	if m.group != nil {
+		if err := m.group.Leave(); err != nil {
+			m.log.Warn("members: left without a word", zap.Error(err))
+		}
+	}
+}
+
+// shown is what `duties show` prints.
+type shown struct {
+	Name   string
+	Counts duty.Counts
+	Rows   []duty.Row
+}
+
+// show answers at a socket of the file system, for operators on the same machine only.
+func (m *minder) show(path, name string) (func(), error) {
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("duties.show: %w", err)
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("duties.show: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("duties.show: %w", err)
+	}
+	srv := &http.Server{ReadTimeout: m.lim.Audit, WriteTimeout: m.lim.Audit, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		m.mu.Lock()
+		m.core.At(m.now())
+		s := shown{Name: name, Counts: m.core.Counts(), Rows: m.core.Rows()}
+		m.mu.Unlock()
+		if err := json.NewEncoder(w).Encode(s); err != nil {
+			m.log.Debug("show", zap.Error(err))
+		}
+	})}
+	go srv.Serve(ln)
+	return func() { srv.Close() }, nil
+}
+
+// try hands an event over if there is room for it.
+func (o *owner) try(f func()) bool {
+	select {
+	case o.events <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// probe puts a probe on a connection to a searcher, one that is up if there is any.
+func (o *owner) probe(name string, p link.Probe) bool {
+	i, ok := o.fleet.byName[name]
+	if !ok || o.fleet.srvs[i].host.State == brain.Gone {
+		return false
+	}
+	s := o.fleet.srvs[i]
+	for _, l := range s.lanes {
+		if !l.retired && l.conn.Probe(p) {
+			l.used = o.now
+			return true
+		}
+	}
+	l := o.lane(s, 1)
+	if l == nil || !l.conn.Probe(p) {
+		return false
+	}
+	l.used = o.now
+	return true
+}
+
+// differs counts the entries in which a whole list differs from the one held, and whether both are of one version.
+func (o *owner) differs(l proto.List) (n int, same bool) {
+	seen := map[string]bool{}
+	for _, h := range l.Hosts {
+		seen[h.Name] = true
+		i, ok := o.fleet.byName[h.Name]
+		if !ok || o.fleet.srvs[i].host.State != h.State || o.fleet.srvs[i].host.Addr != h.Addr {
+			n++
+		}
+	}
+	for _, s := range o.fleet.srvs {
+		if s.host.Name != "" && s.host.State != brain.Gone && !seen[s.host.Name] {
+			n++
+		}
+	}
+	return n, l.Version == o.version
+}
+
+// mind tells the duties which searchers there are.
+func (o *owner) mind() {
+	if o.targets == nil {
+		return
+	}
+	var ts []duty.Target
+	for _, s := range o.fleet.srvs {
+		if s.host.Name == "" || s.host.State == brain.Gone {
+			continue
+		}
+		t := duty.Target{Name: s.host.Name}
+		if !s.host.Born.IsZero() {
+			t.Age, t.Since = max(0, time.Since(s.host.Born)), true
+		}
+		ts = append(ts, t)
+	}
+	slices.SortFunc(ts, func(a, b duty.Target) int { return strings.Compare(a.Name, b.Name) })
+	o.targets(ts)
+}
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -7,6 +7,7 @@
 	"peathollow/internal/config"
 	"peathollow/internal/discovery"
 	"peathollow/internal/link"
+	"peathollow/internal/member"
 )
 
 // Limits are all sizes, counts and times that bound a mixer on sockets. They are filled at start from what the
@@ -42,6 +43,11 @@
 	ReadyWait     time.Duration // for discovery's first word, when a list is known
 	Link          link.Limits
 	Discovery     discovery.Limits
+	Members       member.Limits
+	Shares        int           // into which shared duties fall
+	Probe         time.Duration // for a searcher to answer a probe
+	Load          int           // bytes of a load report that others are told
+	Audit         time.Duration // for an audit of the list, or an operator's question
 	LogEvery      time.Duration // between tallies
 	LogFirst      int           // log lines of a kind and second, then every LogThereafter-th
 	LogThereafter int
@@ -98,9 +104,12 @@
 		StopTell: max(stopAccept, stop-shortest), StopFinish: stop,
 		ReadyWait: 500 * time.Millisecond,
 		Link: link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect, Rest: set.Connect / 2,
-			Receipt: set.Connect / 2, Linger: 2 * set.Connect, Keep: 4 << 10},
+			Receipt: set.Connect / 2, Linger: 2 * set.Connect, Word: 256, Keep: 4 << 10},
 		Discovery: discovery.Limits{Body: int64(min(8<<20, memory/16)), Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
 			Pause: time.Second},
+		Members: member.Limits{Packet: 1400, Queue: 256, Send: time.Second, Rejoin: 2 * time.Second, Leave: time.Second,
+			Probe: 500 * time.Millisecond},
+		Shares: min(1<<14, 8*c.Ours.Duties.Instances), Probe: set.Connect, Load: 64, Audit: 2 * time.Second,
 		LogEvery: 10 * time.Second, LogFirst: 5, LogThereafter: 100,
 	}
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -38,8 +38,9 @@
 	log      *zap.Logger
 	watch    *discovery.Watcher
 	ready    atomic.Bool
-	stopping atomic.Bool // /ready says so, all else goes on
-	leaving  atomic.Bool // clients are told to go
+	minder   atomic.Pointer[minder] // nil where no duties are shared
+	stopping atomic.Bool            // /ready says so, all else goes on
+	leaving  atomic.Bool            // clients are told to go
 }
 
 // New makes a mixer; nothing is opened before Run.
@@ -82,6 +83,14 @@
 			o.post(func() { once.Do(func() { close(first) }) })
 		}
 	}
+	if m.cfg.Ours.Duties.On {
+		unshow, err := m.share(o)
+		if err != nil {
+			closeLinks()
+			return err
+		}
+		defer unshow()
+	}
 	o.list(brain.Remembered, m.cfg.Known)
 	o.sweep()
 	o.report()
@@ -90,6 +99,9 @@
 	var all sync.WaitGroup
 	all.Go(func() { o.run(done) })
 	all.Go(func() { m.watch.Run(links, told) })
+	if d := m.minder.Load(); d != nil {
+		all.Go(func() { d.run(links) })
+	}
 	defer all.Wait()
 	defer close(done)
 	defer closeLinks()
@@ -111,6 +123,20 @@
 	return m.finish(srv, o)
 }
 
+// share begins to share duties with other instances.
+func (m *Mixer) share(o *owner) (unshow func(), err error) {
+	d, err := newMinder(&m.cfg, &m.lim, m.log, o, m.watch)
+	if err != nil {
+		return nil, err
+	}
+	o.targets = d.targets
+	m.minder.Store(d)
+	if path := m.cfg.Ours.Duties.Show; path != "" {
+		return d.show(path, m.cfg.Name)
+	}
+	return func() {}, nil
+}
+
 // whenReady waits for discovery's first list; one known from before will do if that does not come.
 func (m *Mixer) whenReady(ctx context.Context, first <-chan struct{}) {
 	var wait <-chan time.Time
@@ -151,6 +177,14 @@
 	m.stopping.Store(true)
 	m.log.Info("stopping")
 	o.post(func() { o.stop(m.lim.StopFinish) })
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		if d := m.minder.Load(); d != nil {
+			d.leave() // at once: others take the duties over while scans in hand end
+		}
+	}()
+	defer func() { <-left }()
 	time.Sleep(m.lim.StopTell)
 	m.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), m.lim.StopFinish-m.lim.StopTell+m.lim.Slack)
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -624,7 +624,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go w.mix.Follow(ctx, again, func() (Config, error) {
-		return Load(func(string) string { return "here" }, func(string) ([]byte, error) { return []byte(<-read), nil })
+		return Load(here, func(string) ([]byte, error) { return []byte(<-read), nil })
 	})
 	for _, text := range []string{"no json", strings.Replace(good, w.fleet.Discovery.Addr(), "nowhere", 1), good} {
 		again <- syscall.SIGHUP
@@ -668,6 +668,9 @@
 }
 
 // onePart is a scan of shard 1 alone.
+// here is an environment that names a configuration and no settings of ours.
+func here(key string) string { return map[string]string{"ROUTER_CONFIG": "here"}[key] }
+
 func onePart(id string) *scan {
 	return &scan{q: proto.Query{ID: id, Class: "narrow", Wait: time.Second, Parts: []proto.Part{{Shard: 1, Weight: 1}}},
 		reply: make(chan answer, 1)}
@@ -687,7 +690,7 @@
 func made(t testing.TB, f *standin.Fleet, edit func(map[string]any)) *Mixer {
 	t.Helper()
 	text := f.Config(edit)
-	c, err := Load(func(string) string { return "here" }, func(string) ([]byte, error) { return text, nil })
+	c, err := Load(here, func(string) ([]byte, error) { return text, nil })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"peathollow/brain"
+	"peathollow/duty"
 	"peathollow/internal/config"
 	"peathollow/internal/link"
 	"peathollow/internal/proto"
@@ -34,6 +35,9 @@
 	fleet  fleet
 	out    []sending // what the module sent in this batch
 	stopAt time.Duration
+
+	version int64               // of the list held
+	targets func([]duty.Target) // nil where no duties are shared
 }
 
 func newOwner(ctx context.Context, c *config.Config, lim Limits, log *zap.Logger, ask func()) *owner {
--- a/mixer/route.go
+++ b/mixer/route.go
@@ -133,6 +133,8 @@
 	}
 	o.m.ListEnd(mode)
 	o.clear()
+	o.version = l.Version
+	o.mind()
 	o.log.Info("list", zap.Int64("version", l.Version), zap.Bool("whole", l.Whole), zap.Int("entries", len(l.Hosts)))
 }
 
