All readers new at once are spared: a scenario for it, and duties show says never

Need: readers that all start at once are to be probed less often; nothing played that. Change: scenario 'new' and a rule of the checker for it; show prints no outcome where there is none.

--- a/cmd/peathollow/duties.go
+++ b/cmd/peathollow/duties.go
@@ -150,15 +150,15 @@
 			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			fmt.Fprintln(t, "kind\ttarget\tholder\tsince\tlast\tby\toutcome\ttook\tload\tdue here in\twhy")
 			for _, r := range s.Rows {
-				last, since := "never", "-"
+				last, since, end := "never", "-", "-"
 				if r.Last >= 0 {
-					last = round(r.Last) + " ago"
+					last, end = round(r.Last)+" ago", r.Outcome.String()
 				}
 				if r.Since > 0 {
 					since = round(r.Since)
 				}
-				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%v\t%s\t%s\t%s\t%s\n", r.Kind, r.Target, dash(r.Holder), since, last, dash(r.Witness),
-					r.Outcome, round(r.Took), dash(r.Load), round(r.Due), r.Why)
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Kind, r.Target, dash(r.Holder), since, last, dash(r.Witness),
+					end, round(r.Took), dash(r.Load), round(r.Due), r.Why)
 			}
 			return t.Flush()
 		}}
--- a/duty/dutysim/check.go
+++ b/duty/dutysim/check.go
@@ -80,6 +80,9 @@
 	if bounded(w.set.Scenario) {
 		bound = min(bound, w.duty.QuorumBound(0))
 	}
+	if w.set.Scenario == "new" {
+		bound *= gentle
+	}
 	bound = time.Duration(float64(bound)*1.002) + w.slack() // clocks may run slow by a thousandth
 	window := min(w.duty.RateWindow(0), w.end)
 	r.GapBoundMS, r.WindowMS = ms(bound), ms(window)
@@ -100,6 +103,10 @@
 			if x.at-held < apart {
 				r.fault(seed, "%s: held by two, at %v and %v", w.names[reader], held, x.at)
 			}
+			// Once all have heard that it is new, and while it is.
+			if w.born > 0 && held > w.born+d && x.at < w.born+youngFor*d && x.at-held < gentle*apart {
+				r.fault(seed, "%s: not spared when new, at %v and %v", w.names[reader], held, x.at)
+			}
 			held = x.at
 		}
 		last := time.Duration(0)
--- a/duty/dutysim/scenario.go
+++ b/duty/dutysim/scenario.go
@@ -7,11 +7,11 @@
 )
 
 // Scenarios are what can be asked for, in the order of the tables.
-var Scenarios = []string{"calm", "kill", "pause", "split", "oneway", "flap", "drift", "roll", "rejoin", "blind", "mixed"}
+var Scenarios = []string{"calm", "kill", "pause", "split", "oneway", "flap", "drift", "roll", "rejoin", "new", "blind", "mixed"}
 
 // bounded tells by which bound a scenario's gaps are judged: true while a majority always runs and hears each other.
 func bounded(scenario string) bool {
-	return slices.Contains([]string{"calm", "kill", "pause", "drift", "roll"}, scenario)
+	return slices.Contains([]string{"calm", "kill", "pause", "drift", "roll", "new"}, scenario)
 }
 
 // stage sets a scenario's events up.
@@ -85,6 +85,9 @@
 			}
 		})
 		w.after(at+6*d, w.heal)
+	case "new":
+		// All readers start at once, when everybody has long been at it, and are spared from there on.
+		w.after(start, w.renew)
 	case "blind":
 		w.blindness()
 	case "mixed":
@@ -105,6 +108,16 @@
 	}
 }
 
+// renew starts all readers anew; each instance hears of it in its own time.
+func (w *world) renew() {
+	w.born = w.now
+	for _, i := range w.all {
+		i.post(time.Duration(w.dice.Int64N(int64(w.set.Interval))), func() {
+			i.act(func() { i.m.Targets(0, i.targets()) })
+		})
+	}
+}
+
 // mixed draws all there is, at any time, sparing one instance its processor.
 func (w *world) mixed() {
 	n, d := w.set.Instances, w.set.Interval
