The life of a dispatch and a connection is one package free of I/O, which the mixer runs

Need: rules that hold in every order of events can be explored only where the life of a dispatch has no sockets, clock or goroutines in it. It was spread over five stages of mixer and its owner, beside link's goroutines.

Change: package attempt holds it (admit, route, send, relay, book, timers), with connections behind Conn and all else outside behind Port; time is handed in.

--- a/mixer/book.go
+++ b/attempt/book.go
@@ -1,10 +1,8 @@
-package mixer
+package attempt
 
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"peathollow/brain"
 	"peathollow/internal/proto"
 )
@@ -12,43 +10,45 @@
 // The last stage: what is held, and how it ends.
 
 type book struct {
-	scans  map[uint64]*scan
-	byReq  map[string]*scan
+	scans  map[uint64]*Scan
+	byReq  map[string]*Scan
 	parts  map[uint64]*part
 	byWire map[string]*part
 	lastID uint64
 	lastNo uint64
 	open   int // scans, and parts whose value is not in: what the settings let a mixer hold
-	tally  tally
+	tally  Tally
 }
 
-// tally counts what ended since it was last written to the log.
-type tally struct {
-	scans [unfit + 1]int
-	parts [brain.Stale + 1]int
-	left  int // clients that went away
-	full  int // scans beyond what may be held
-	doubt int // dispatches whose connection went without a word of their end
+// Tally counts what ended since it was last written to the log.
+type Tally struct {
+	Scans [Unfit + 1]int
+	Parts [brain.Stale + 1]int
+	Left  int // clients that went away
+	Full  int // scans beyond what may be held
+	Doubt int // dispatches whose connection went without a word of their end
+	Open  int // scans, and parts whose value is not in, now
+	Lanes int // connections, now
 }
 
 func newBook() book {
-	return book{scans: map[uint64]*scan{}, byReq: map[string]*scan{}, parts: map[uint64]*part{}, byWire: map[string]*part{}}
+	return book{scans: map[uint64]*Scan{}, byReq: map[string]*Scan{}, parts: map[uint64]*part{}, byWire: map[string]*part{}}
 }
 
-type scan struct {
+type Scan struct {
 	id, no uint64
-	q      proto.Query
+	Query  proto.Query
 	class  int
 	step   int
-	parts  []*part // of the present step
-	from   []int   // shards that were in at the first step's end
-	whole  bool    // the first step's answer was
-	reply  chan answer
+	parts  []*part      // of the present step
+	from   []int        // shards that were in at the first step's end
+	whole  bool         // the first step's answer was
+	Reply  func(Answer) // called once, in the call that ends the scan
 }
 
 type part struct {
 	id    uint64
-	scan  *scan
+	scan  *Scan
 	shard int
 	wire  string
 	tries []try
@@ -61,7 +61,7 @@
 
 type try struct {
 	srv   *searcher
-	lane  *lane // nil till it is sent
+	lane  *Lane // nil till it is sent
 	seq   uint64
 	at    time.Duration
 	until time.Duration
@@ -74,14 +74,14 @@
 	return b.lastID
 }
 
-func (b *book) addScan(s *scan) {
+func (b *book) addScan(s *Scan) {
 	b.lastNo++
 	s.id, s.no = b.id(), b.lastNo
-	b.scans[s.id], b.byReq[s.q.ID] = s, s
+	b.scans[s.id], b.byReq[s.Query.ID] = s, s
 	b.open++
 }
 
-func (b *book) addPart(s *scan, shard int, wire string) *part {
+func (b *book) addPart(s *Scan, shard int, wire string) *part {
 	p := &part{id: b.id(), scan: s, shard: shard, wire: wire}
 	s.parts = append(s.parts, p)
 	b.parts[p.id], b.byWire[wire] = p, p
@@ -90,7 +90,7 @@
 }
 
 // closeStep lets go of a step's parts; those with a dispatch out are kept until it is back.
-func (o *owner) closeStep(s *scan) {
+func (o *Life) closeStep(s *Scan) {
 	for _, p := range s.parts {
 		p.over = true
 		if !p.in {
@@ -104,7 +104,7 @@
 }
 
 // release lets go of dispatches whose end will never be known: with the step over, nothing of it goes out again.
-func (o *owner) release(p *part) {
+func (o *Life) release(p *part) {
 	for no := range p.tries {
 		if t := &p.tries[no]; t.out && t.lane != nil && t.lane.gone {
 			o.returnLater(p, no, t.lostAs())
@@ -122,42 +122,34 @@
 }
 
 // end books the one final answer of a scan.
-func (o *owner) end(s *scan, a answer) {
+func (o *Life) end(s *Scan, a Answer) {
 	delete(o.book.scans, s.id)
-	delete(o.book.byReq, s.q.ID)
+	delete(o.book.byReq, s.Query.ID)
 	o.book.open--
 	o.closeStep(s)
-	o.book.tally.scans[a.kind]++
-	s.reply <- a
+	o.book.tally.Scans[a.Kind]++
+	s.Reply(a)
 }
 
-// report writes what ended of late, one line however much it is: the log counts as memory.
-func (o *owner) report() {
+// report tells what ended of late, once however much it is.
+func (o *Life) report() {
 	o.timers.add(o.now+o.lim.LogEvery, o.report)
 	t := o.book.tally
-	if t == (tally{}) {
+	if t == (Tally{}) {
 		return
 	}
-	o.book.tally = tally{}
-	ends := map[string]int{}
-	for i, name := range []string{"pass", "fault", "no room", "too slow", "no route", "cut", "undone", "stale"} {
-		if t.parts[i] > 0 {
-			ends[name] = t.parts[i]
-		}
-	}
-	o.log.Info("tally", zap.Int("completed", t.scans[completed]), zap.Int("throttled", t.scans[throttled]),
-		zap.Int("abandoned", t.scans[abandoned]), zap.Int("left", t.left), zap.Int("full", t.full),
-		zap.Int("unfit", t.scans[unfit]), zap.Int("doubt", t.doubt), zap.Int("open", o.book.open), zap.Int("connections", o.fleet.lanes),
-		zap.Any("dispatches", ends))
+	o.book.tally = Tally{}
+	t.Open, t.Lanes = o.book.open, o.fleet.lanes
+	o.port.Tally(t)
 }
 
 // returnLater is returned for an end that is known at once: the module is never called from its own actions.
-func (o *owner) returnLater(p *part, no int, end brain.Outcome) {
+func (o *Life) returnLater(p *part, no int, end brain.Outcome) {
 	o.later = append(o.later, func() { o.returned(p, no, end) })
 }
 
 // returned books how a dispatch ended and tells the module.
-func (o *owner) returned(p *part, no int, end brain.Outcome) {
+func (o *Life) returned(p *part, no int, end brain.Outcome) {
 	t := &p.tries[no]
 	if !t.out {
 		return
@@ -165,7 +157,7 @@
 	t.out = false
 	p.live--
 	t.srv.live--
-	o.book.tally.parts[end]++
+	o.book.tally.Parts[end]++
 	if l := t.lane; l != nil {
 		l.drop(p, no, end == brain.Undone || end == brain.TooSlow, o.now)
 	}
--- /dev/null
+++ b/attempt/life.go
@@ -0,0 +1,195 @@
+package attempt
+
+import (
+	"time"
+
+	"peathollow/brain"
+	"peathollow/internal/config"
+	"peathollow/internal/proto"
+)
+
+// Limits bound what is held.
+type Limits struct {
+	Open        int           // scans and parts held
+	PerSearcher int           // connections to one searcher
+	Lanes       int           // connections to all searchers together
+	Parts       int           // parts that one connection carries at once
+	Past        int           // parts no longer out whose answers a connection still knows
+	LaneIdle    time.Duration // ahead of the time after which a searcher closes
+	LogEvery    time.Duration // between tallies
+}
+
+// Conn is one connection, perhaps still coming up. Nothing of it blocks; its events come back through Life.
+type Conn interface {
+	Send(calls []proto.Call) (seq uint64, ok bool)      // queues a frame; false if it takes no more
+	GiveUp(id string, proof bool) (seq uint64, ok bool) // Told follows, with proof once the searcher has read it
+	Recall(seq uint64, id string) bool                  // takes a part back out of a frame not begun to be written
+	Ran(seq uint64) bool                                // the frame's last byte was written
+	Shut() bool                                         // it takes nothing more
+	Close()                                             // Closing and Closed follow
+	Fail(why error)
+}
+
+// Port is the outside.
+type Port interface {
+	Open(addr string, l *Lane) Conn
+	Ask() // for the list
+	Lost(searcher string, parts int, why error)
+	InDoubt(searcher string, parts int)
+	Listed(l proto.List)
+	Silent() // the list can't be had
+	Tally(t Tally)
+}
+
+// Kind is how a scan ended.
+type Kind uint8
+
+const (
+	Completed Kind = iota
+	Throttled
+	Abandoned
+	Unfit // the request itself is at fault
+)
+
+// Answer is a scan's final one.
+type Answer struct {
+	Kind  Kind
+	Body  []byte
+	After time.Duration // when to come back
+	Fault error
+}
+
+// Life is all that is in hand, and the module that decides on it.
+type Life struct {
+	lim   Limits
+	set   *config.Settings
+	port  Port
+	start time.Time // what times are counted from; never read as a clock
+	now   time.Duration
+	m     *brain.Mixer
+
+	later  []func() // results known at once; they wait for the next batch, as if they came from outside
+	timers timers
+	book   book
+	fleet  fleet
+	out    []sending // what the module sent in this batch
+	stopAt time.Duration
+
+	version int64 // of the list held
+}
+
+// New makes one that holds nothing. Times are counted from start.
+func New(set *config.Settings, lim Limits, port Port, start time.Time) *Life {
+	o := &Life{lim: lim, set: set, port: port, start: start, book: newBook(), fleet: newFleet()}
+	o.m = brain.New(set.Brain, o, 0)
+	return o
+}
+
+// Begin starts what is done again and again, once the list last known was handed over.
+func (o *Life) Begin() {
+	o.sweep()
+	o.report()
+}
+
+// At opens a batch: all till Flush happens at that time. What was known at once in the batch before comes first.
+func (o *Life) At(now time.Duration, guard func(func())) {
+	o.now = now
+	o.m.At(now)
+	ready := o.later
+	o.later = nil
+	for _, f := range ready {
+		guard(f)
+	}
+}
+
+// Due does what its time has come for, then sends what the module wants sent. It closes a batch.
+func (o *Life) Due(guard func(func())) {
+	for f := o.timers.due(o.now); f != nil; f = o.timers.due(o.now) {
+		guard(f)
+	}
+	guard(o.flush)
+}
+
+// Next is how long nothing is to be done if nothing happens.
+func (o *Life) Next(now time.Duration) time.Duration {
+	if len(o.later) > 0 {
+		return 0
+	}
+	return o.timers.next(now)
+}
+
+// Now is the time of the batch.
+func (o *Life) Now() time.Duration { return o.now }
+
+// Restart follows a panic: every scan in hand is answered, and the module starts anew with the list as known.
+func (o *Life) Restart() {
+	o.later, o.out, o.timers = nil, nil, timers{}
+	for _, s := range o.book.scans {
+		s.Reply(Answer{Kind: Abandoned})
+	}
+	last := o.book.lastID // old ids may still be heard of
+	o.book = newBook()
+	o.book.lastID = last
+	for _, s := range o.fleet.srvs {
+		s.live = 0
+		for _, l := range s.lanes {
+			clear(l.out)
+			l.retire()
+		}
+	}
+	o.m = brain.New(o.set.Brain, o, o.now)
+	o.m.At(o.now)
+	o.relist()
+	o.Begin()
+	if o.stopAt > 0 {
+		o.Stop(o.stopAt - o.now)
+	}
+}
+
+// Wake and Subscribe are actions of the module.
+func (o *Life) Wake(at time.Duration, token uint64) {
+	o.timers.add(at, func() { o.m.Woke(token) })
+}
+
+func (o *Life) Subscribe() { o.port.Ask() }
+
+// Hosts are the searchers there are, in the order of their places.
+func (o *Life) Hosts() (hosts []proto.Host) {
+	for _, s := range o.fleet.srvs {
+		if s.host.Name != "" && s.host.State != brain.Gone {
+			hosts = append(hosts, s.host)
+		}
+	}
+	return hosts
+}
+
+// Version is of the list held.
+func (o *Life) Version() int64 { return o.version }
+
+// Beside puts something that is no part on a connection to a searcher, one that is up if there is any.
+func (o *Life) Beside(name string, put func(Conn) bool) bool {
+	i, ok := o.fleet.byName[name]
+	if !ok || o.fleet.srvs[i].host.State == brain.Gone {
+		return false
+	}
+	s := o.fleet.srvs[i]
+	for _, l := range s.lanes {
+		if !l.retired && put(l.conn) {
+			l.used = o.now
+			return true
+		}
+	}
+	l := o.lane(s, 1)
+	if l == nil || !put(l.conn) {
+		return false
+	}
+	l.used = o.now
+	return true
+}
+
+// Probed hands the module what came of a probe.
+func (o *Life) Probed(name string, ago time.Duration, answered bool) {
+	if i, ok := o.fleet.byName[name]; ok {
+		o.m.Probed(i, ago, answered)
+	}
+}
--- a/mixer/relay.go
+++ b/attempt/relay.go
@@ -1,4 +1,4 @@
-package mixer
+package attempt
 
 import (
 	"cmp"
@@ -7,16 +7,14 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"peathollow/brain"
-	"peathollow/internal/link"
 	"peathollow/internal/proto"
 )
 
 // The fifth stage: what searchers say goes to the module, and what it settles becomes the client's answer.
 
-func (o *owner) answered(l *lane, a proto.Answer, more bool) {
+// Answered takes what a searcher says on a connection; more tells that bytes lie right behind.
+func (o *Life) Answered(l *Lane, a proto.Answer, more bool) {
 	l.heard = o.now
 	p := o.book.byWire[a.ID]
 	no, ok := l.out[p]
@@ -36,7 +34,7 @@
 		before := slices.Collect(maps.Keys(l.kills))
 		before = slices.DeleteFunc(before, func(k uint64) bool { return k > seq })
 		slices.Sort(before)
-		o.givenUp(l, before)
+		o.Told(l, before)
 	}
 	if a.End == brain.Pass && !p.in && !p.over {
 		p.in, p.value, p.score = true, a.Value, a.Score
@@ -47,16 +45,16 @@
 
 var errNeverAsked = errors.New("answer to a part never asked on this connection")
 
-// closing ends what was out on a connection that takes and believes nothing more: what was not written whole never
+// Closing ends what was out on a connection that takes and believes nothing more: what was not written whole never
 // ran. What was is known to have ended only with the searcher's own end, and stays out till then where it may go
 // elsewhere and copies are barred.
-func (o *owner) closing(l *lane, why error) {
+func (o *Life) Closing(l *Lane, why error) {
 	l.retired, l.ended, l.lost = true, true, brain.Cut
-	if errors.Is(why, link.ErrMute) {
+	if errors.Is(why, proto.ErrMute) {
 		l.lost = brain.Undone // by this mixer
 	}
 	if len(l.out) > 0 {
-		o.log.Warn("connection lost", zap.String("searcher", l.s.host.Name), zap.Int("parts", len(l.out)), zap.Error(why))
+		o.port.Lost(l.s.host.Name, len(l.out), why)
 	}
 	for _, p := range l.held() {
 		if no := l.out[p]; !l.conn.Ran(p.tries[no].seq) {
@@ -67,11 +65,11 @@
 	}
 }
 
-// closed follows when a connection is gone. What is out on one whose searcher has not ended it as well may run yet,
+// Closed follows when a connection is gone. What is out on one whose searcher has not ended it as well may run yet,
 // any time: it stays out till its scan ends, and goes nowhere else.
-func (o *owner) closed(l *lane, heard bool) {
+func (o *Life) Closed(l *Lane, heard bool) {
 	o.fleet.lanes--
-	l.s.lanes = slices.DeleteFunc(l.s.lanes, func(x *lane) bool { return x == l })
+	l.s.lanes = slices.DeleteFunc(l.s.lanes, func(x *Lane) bool { return x == l })
 	l.gone = true
 	for _, p := range l.held() {
 		if no := l.out[p]; heard || !o.single(p) {
@@ -79,13 +77,13 @@
 		}
 	}
 	if n := len(l.out); n > 0 {
-		o.book.tally.doubt += n
-		o.log.Warn("no word of what was out", zap.String("searcher", l.s.host.Name), zap.Int("parts", n))
+		o.book.tally.Doubt += n
+		o.port.InDoubt(l.s.host.Name, n)
 	}
 }
 
 // held are the parts out on a connection, oldest first.
-func (l *lane) held() []*part {
+func (l *Lane) held() []*part {
 	return slices.SortedFunc(maps.Keys(l.out), func(a, b *part) int { return cmp.Compare(a.id, b.id) })
 }
 
@@ -99,7 +97,7 @@
 
 // Complete is an action of the module. In a table type with a second step the first such answer picks the
 // shards that go on, by score, and hands their parts over in the next batch.
-func (o *owner) Complete(id uint64, whole bool) {
+func (o *Life) Complete(id uint64, whole bool) {
 	s := o.book.scans[id]
 	if s == nil {
 		return
@@ -118,10 +116,10 @@
 	for i, p := range in {
 		rows[i] = proto.Row{Shard: p.shard, Value: p.value}
 	}
-	o.end(s, answer{kind: completed, body: proto.WriteAnswer(whole, rows)})
+	o.end(s, Answer{Kind: Completed, Body: proto.WriteAnswer(whole, rows)})
 }
 
-func (o *owner) secondStep(s *scan, in []*part, n int, whole bool) {
+func (o *Life) secondStep(s *Scan, in []*part, n int, whole bool) {
 	s.step, s.whole = 1, whole
 	for _, p := range in {
 		s.from = append(s.from, p.shard)
@@ -143,15 +141,15 @@
 }
 
 // Throttle is an action of the module: asking again is harmless.
-func (o *owner) Throttle(id uint64, in time.Duration) {
+func (o *Life) Throttle(id uint64, in time.Duration) {
 	if s := o.book.scans[id]; s != nil {
-		o.end(s, answer{kind: throttled, after: in})
+		o.end(s, Answer{Kind: Throttled, After: in})
 	}
 }
 
 // Abandon is an action of the module: nothing is promised.
-func (o *owner) Abandon(id uint64) {
+func (o *Life) Abandon(id uint64) {
 	if s := o.book.scans[id]; s != nil {
-		o.end(s, answer{kind: abandoned})
+		o.end(s, Answer{Kind: Abandoned})
 	}
 }
--- a/mixer/route.go
+++ b/attempt/route.go
@@ -1,13 +1,10 @@
-package mixer
+package attempt
 
 import (
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"peathollow/brain"
-	"peathollow/internal/link"
 	"peathollow/internal/proto"
 )
 
@@ -24,15 +21,15 @@
 
 type searcher struct {
 	host  proto.Host
-	lanes []*lane
+	lanes []*Lane
 	live  int // dispatches that are not back
 }
 
 // lane is one connection and what is out on it.
-type lane struct {
-	o       *owner
+type Lane struct {
+	o       *Life
 	s       *searcher
-	conn    *link.Conn
+	conn    Conn
 	out     map[*part]int     // and the number of its try
 	kills   map[uint64]killed // by the frame that gives it up
 	past    past
@@ -83,7 +80,7 @@
 }
 
 // drop books that a dispatch is back; its answer may still be due.
-func (l *lane) drop(p *part, no int, due bool, now time.Duration) {
+func (l *Lane) drop(p *part, no int, due bool, now time.Duration) {
 	if n, ok := l.out[p]; ok && n == no {
 		delete(l.out, p)
 		l.past.add(p.wire, due, l.o.lim.Past)
@@ -94,18 +91,18 @@
 }
 
 // retire lets a connection take nothing new, and closes it once it is empty.
-func (l *lane) retire() {
+func (l *Lane) retire() {
 	l.retired = true
 	if len(l.out) == 0 {
 		l.conn.Close()
 	}
 }
 
-// list hands the module what discovery told.
-func (o *owner) list(mode brain.ListMode, l proto.List) {
+// List hands the module what discovery told.
+func (o *Life) List(mode brain.ListMode, l proto.List) {
 	o.m.ListBegin(mode)
 	if mode == brain.Failed {
-		o.log.Warn("discovery does not answer")
+		o.port.Silent()
 		return
 	}
 	if mode != brain.Changes {
@@ -134,8 +131,7 @@
 	o.m.ListEnd(mode)
 	o.clear()
 	o.version = l.Version
-	o.mind()
-	o.log.Info("list", zap.Int64("version", l.Version), zap.Bool("whole", l.Whole), zap.Int("entries", len(l.Hosts)))
+	o.port.Listed(l)
 }
 
 // place gives a searcher an index, one given back if there is any.
@@ -153,7 +149,7 @@
 
 // clear lets go of searchers that are gone: their connections close once empty, and with nothing left of them
 // their places go to others. Against tables that grow all day where searchers are replaced under new names.
-func (o *owner) clear() {
+func (o *Life) clear() {
 	for i, s := range o.fleet.srvs {
 		if s.host.Name == "" || s.host.State != brain.Gone {
 			continue
@@ -168,7 +164,7 @@
 	}
 }
 
-func (o *owner) entry(i int) {
+func (o *Life) entry(i int) {
 	h := &o.fleet.srvs[i].host
 	started := brain.LongAgo
 	if !h.Born.IsZero() {
@@ -178,7 +174,7 @@
 }
 
 // relist tells a module that starts anew what is known.
-func (o *owner) relist() {
+func (o *Life) relist() {
 	o.m.ListBegin(brain.Remembered)
 	for i, s := range o.fleet.srvs {
 		if s.host.Name != "" {
@@ -190,8 +186,8 @@
 
 // lane finds a connection with room, or opens one. Where the limits allow no further one, parts wait on the one
 // with the fewest; nil only if the searcher has none.
-func (o *owner) lane(s *searcher, parts int) *lane {
-	var least *lane
+func (o *Life) lane(s *searcher, parts int) *Lane {
+	var least *Lane
 	live := 0
 	for _, l := range s.lanes {
 		if l.retired || l.conn.Shut() {
@@ -207,22 +203,22 @@
 	if live >= o.lim.PerSearcher || o.fleet.lanes >= o.lim.Lanes {
 		return least
 	}
-	l := &lane{o: o, s: s, out: map[*part]int{}, kills: map[uint64]killed{}, used: o.now}
-	l.conn = link.Open(o.ctx, s.host.Addr, o.lim.Link, l)
+	l := &Lane{o: o, s: s, out: map[*part]int{}, kills: map[uint64]killed{}, used: o.now}
+	l.conn = o.port.Open(s.host.Addr, l)
 	s.lanes = append(s.lanes, l)
 	o.fleet.lanes++
 	return l
 }
 
 // Renew is an action of the module: what is sent next goes out on a new connection.
-func (o *owner) Renew(srv int) {
+func (o *Life) Renew(srv int) {
 	for _, l := range o.fleet.srvs[srv].lanes {
 		l.retire()
 	}
 }
 
 // sweep closes connections before the searchers do, which would cost what is being written to them.
-func (o *owner) sweep() {
+func (o *Life) sweep() {
 	o.timers.add(o.now+o.lim.LaneIdle/10, o.sweep)
 	o.clear()
 	for _, s := range o.fleet.srvs {
--- a/mixer/send.go
+++ b/attempt/send.go
@@ -1,4 +1,4 @@
-package mixer
+package attempt
 
 import (
 	"slices"
@@ -18,7 +18,7 @@
 func (s sending) srv() *searcher { return s.p.tries[s.no].srv }
 
 // Dispatch is an action of the module; the frame leaves when the batch is done, with all that share its call.
-func (o *owner) Dispatch(id uint64, srv int, until time.Duration) {
+func (o *Life) Dispatch(id uint64, srv int, until time.Duration) {
 	p := o.book.parts[id]
 	if p == nil {
 		return
@@ -30,7 +30,7 @@
 	o.out = append(o.out, sending{p, len(p.tries) - 1})
 }
 
-func (o *owner) flush() {
+func (o *Life) flush() {
 	for len(o.out) > 0 {
 		srv := o.out[0].srv()
 		var call []sending
@@ -51,14 +51,14 @@
 	return !t.out || t.end != brain.Stale || p.over
 }
 
-func (o *owner) send(srv *searcher, call []sending) {
+func (o *Life) send(srv *searcher, call []sending) {
 	if len(call) == 0 {
 		return
 	}
 	l := o.lane(srv, len(call))
 	calls := make([]proto.Call, len(call))
 	for i, c := range call {
-		q := &c.p.scan.q
+		q := &c.p.scan.Query
 		calls[i] = proto.Call{ID: c.p.wire, Shard: c.p.shard, Text: q.Text,
 			Until: o.start.Add(c.p.tries[c.no].until)}
 		if o.set.Brain.Types[c.p.scan.class].Effect == brain.Keyed {
@@ -86,7 +86,7 @@
 }
 
 // Cancel is an action of the module.
-func (o *owner) Cancel(id uint64, no int) {
+func (o *Life) Cancel(id uint64, no int) {
 	if p := o.book.parts[id]; p != nil && no < len(p.tries) {
 		o.giveUp(p, no, brain.Undone)
 	}
@@ -95,7 +95,7 @@
 // giveUp stops waiting for a dispatch. Its end is told once the searcher is known to have heard, where the part may
 // go elsewhere and copies are barred: nothing orders what is written on two connections, and what goes out elsewhere
 // before that may be a second copy.
-func (o *owner) giveUp(p *part, no int, end brain.Outcome) {
+func (o *Life) giveUp(p *part, no int, end brain.Outcome) {
 	t := &p.tries[no]
 	if !t.out || t.end != brain.Stale {
 		return
@@ -121,10 +121,10 @@
 }
 
 // single tells that a part may go out again, and then only when no dispatch of it is out.
-func (o *owner) single(p *part) bool { return !p.over && !o.set.Brain.SecondCopies }
+func (o *Life) single(p *part) bool { return !p.over && !o.set.Brain.SecondCopies }
 
 // recall takes back what has not left when a step ends: nothing of a scan goes out after its final answer.
-func (o *owner) recall(p *part) {
+func (o *Life) recall(p *part) {
 	for no := range p.tries {
 		if t := &p.tries[no]; t.out && t.takeBack(p) {
 			o.returnLater(p, no, brain.Stale)
@@ -136,9 +136,9 @@
 // is out of its connection's queue.
 func (t *try) takeBack(p *part) bool { return t.lane == nil || t.lane.conn.Recall(t.seq, p.wire) }
 
-// givenUp follows when frames that give parts up have ended. Those of one write share a clock reading: parts called
+// Told follows when frames that give parts up have ended. Those of one write share a clock reading: parts called
 // off together must read as one failure of their searcher, or it would be kept off for far too long.
-func (o *owner) givenUp(l *lane, seqs []uint64) {
+func (o *Life) Told(l *Lane, seqs []uint64) {
 	for _, seq := range seqs {
 		k, ok := l.kills[seq]
 		delete(l.kills, seq)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -94,9 +94,6 @@
 	shut    bool
 }
 
-// ErrMute is why a connection ends that says nothing when it is asked for a receipt.
-var ErrMute = errors.New("silent when asked for a receipt")
-
 var (
 	errShut  = errors.New("closed by this mixer")
 	errFrame = errors.New("searcher could not use a frame")
@@ -341,7 +338,7 @@
 	p := a.probe
 	a.clock = time.AfterFunc(max(wait, c.lim.Receipt), func() {
 		if c.heard.Load() == before {
-			c.Fail(ErrMute)
+			c.Fail(proto.ErrMute)
 		}
 		if p == nil {
 			return
@@ -358,7 +355,7 @@
 		}
 	})
 	if c.asked = append(c.asked, a); len(c.asked) > c.lim.Queue {
-		go c.Fail(ErrMute) // the lock is held here
+		go c.Fail(proto.ErrMute) // the lock is held here
 	}
 }
 
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -129,6 +129,9 @@
 	Value string
 }
 
+// ErrMute is why a connection ends that says nothing when it is asked for a receipt.
+var ErrMute = errors.New("silent when asked for a receipt")
+
 var ends = map[string]brain.Outcome{"200": brain.Pass, "500": brain.Fault, "503": brain.NoRoom}
 
 var (
--- a/mixer/duties.go
+++ b/mixer/duties.go
@@ -8,13 +8,12 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"peathollow/attempt"
 	"peathollow/brain"
 	"peathollow/duty"
 	"peathollow/internal/discovery"
@@ -144,9 +143,7 @@
 	// The module may miss one: it decides without them for the most part, and the owner must not be waited for.
 	m.acts = append(m.acts, func() {
 		m.o.try(func() {
-			if i, ok := m.o.fleet.byName[target]; ok {
-				m.o.m.Probed(i, r.Age, answered)
-			}
+			m.o.Probed(target, r.Age, answered)
 		})
 	})
 	m.log.Debug("probed", zap.String("searcher", target), zap.Stringer("outcome", r.Outcome), zap.Duration("took", r.Took),
@@ -177,7 +174,15 @@
 }
 
 // targets sets which searchers there are; the owner calls it with each list.
-func (m *minder) targets(ts []duty.Target) {
+func (m *minder) targets(hosts []proto.Host) {
+	var ts []duty.Target
+	for _, h := range hosts {
+		t := duty.Target{Name: h.Name}
+		if !h.Born.IsZero() {
+			t.Age, t.Since = max(0, time.Since(h.Born)), true
+		}
+		ts = append(ts, t)
+	}
 	m.event(func(c *duty.Core) { c.Targets(probeDuty, ts) })
 }
 
@@ -210,7 +215,7 @@
 			m.done(token, out, r.Took, load)
 		}}
 	if !m.o.try(func() {
-		if !m.o.probe(target, p) {
+		if !m.o.Beside(target, func(c attempt.Conn) bool { return c.(*link.Conn).Probe(p) }) {
 			m.done(token, duty.NotBegun, 0, "")
 		}
 	}) {
@@ -239,7 +244,7 @@
 		return
 	}
 	m.o.post(func() {
-		wrong, same := m.o.differs(whole)
+		wrong, same := differs(m.o.Life, whole)
 		word := fmt.Sprintf("entries=%d,differ=%d", len(whole.Hosts), wrong)
 		if wrong > 0 {
 			m.log.Warn("audit: the list watched differs", zap.Int("entries", wrong), zap.Bool("sameVersion", same))
@@ -312,61 +317,17 @@
 	}
 }
 
-// probe puts a probe on a connection to a searcher, one that is up if there is any.
-func (o *owner) probe(name string, p link.Probe) bool {
-	i, ok := o.fleet.byName[name]
-	if !ok || o.fleet.srvs[i].host.State == brain.Gone {
-		return false
-	}
-	s := o.fleet.srvs[i]
-	for _, l := range s.lanes {
-		if !l.retired && l.conn.Probe(p) {
-			l.used = o.now
-			return true
-		}
-	}
-	l := o.lane(s, 1)
-	if l == nil || !l.conn.Probe(p) {
-		return false
-	}
-	l.used = o.now
-	return true
-}
-
 // differs counts the entries in which a whole list differs from the one held, and whether both are of one version.
-func (o *owner) differs(l proto.List) (n int, same bool) {
-	seen := map[string]bool{}
-	for _, h := range l.Hosts {
-		seen[h.Name] = true
-		i, ok := o.fleet.byName[h.Name]
-		if !ok || o.fleet.srvs[i].host.State != h.State || o.fleet.srvs[i].host.Addr != h.Addr {
-			n++
-		}
+func differs(o *attempt.Life, l proto.List) (n int, same bool) {
+	held := map[string]proto.Host{}
+	for _, h := range o.Hosts() {
+		held[h.Name] = h
 	}
-	for _, s := range o.fleet.srvs {
-		if s.host.Name != "" && s.host.State != brain.Gone && !seen[s.host.Name] {
+	for _, h := range l.Hosts {
+		if was, ok := held[h.Name]; h.State != brain.Gone && (!ok || was.State != h.State || was.Addr != h.Addr) {
 			n++
 		}
+		delete(held, h.Name)
 	}
-	return n, l.Version == o.version
-}
-
-// mind tells the duties which searchers there are.
-func (o *owner) mind() {
-	if o.targets == nil {
-		return
-	}
-	var ts []duty.Target
-	for _, s := range o.fleet.srvs {
-		if s.host.Name == "" || s.host.State == brain.Gone {
-			continue
-		}
-		t := duty.Target{Name: s.host.Name}
-		if !s.host.Born.IsZero() {
-			t.Age, t.Since = max(0, time.Since(s.host.Born)), true
-		}
-		ts = append(ts, t)
-	}
-	slices.SortFunc(ts, func(a, b duty.Target) int { return strings.Compare(a.Name, b.Name) })
-	o.targets(ts)
+	return n + len(held), l.Version == o.Version()
 }
--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"peathollow/attempt"
 	"peathollow/internal/config"
 	"peathollow/internal/discovery"
 	"peathollow/internal/link"
@@ -19,11 +20,6 @@
 	Big           int           // requests with a longer one in hand at a time
 	Hold          time.Duration // a client's wait, at most
 	Clients       int           // client connections; idle ones are closed to stay within
-	Lanes         int           // connections to all searchers together
-	PerSearcher   int           // connections to one searcher
-	Parts         int           // parts that one connection carries at once
-	Past          int           // parts no longer out whose answers a connection still knows
-	Open          int           // scans and parts held
 	Events        int           // events on their way to the module's goroutine
 	Batch         int           // events that share one clock reading
 	Processors    int
@@ -36,19 +32,18 @@
 	ClientSpare   time.Duration // nor one that lies idle
 	ClientWrite   time.Duration // for an answer to be taken
 	ClientIdle    time.Duration
-	LaneIdle      time.Duration // ahead of the time after which a searcher closes
 	Slack         time.Duration // past a scan's time, in which an answer still counts
 	StopTell      time.Duration // after SIGTERM: from when on clients are told to go, and nothing new is accepted
 	StopFinish    time.Duration // after SIGTERM: by when all must be answered
 	ReadyWait     time.Duration // for discovery's first word, when a list is known
 	Link          link.Limits
 	Discovery     discovery.Limits
+	Attempt       attempt.Limits
 	Members       member.Limits
 	Shares        int           // into which shared duties fall
 	Probe         time.Duration // for a searcher to answer a probe
 	Load          int           // bytes of a load report that others are told
 	Audit         time.Duration // for an audit of the list, or an operator's question
-	LogEvery      time.Duration // between tallies
 	LogFirst      int           // log lines of a kind and second, then every LogThereafter-th
 	LogThereafter int
 }
@@ -90,15 +85,16 @@
 	return Limits{
 		Gather: gather,
 		Body:   64 << 10, Copy: 4 << 10, Small: 4 << 10, Big: max(2, memory/8/bigCost), Hold: 2 * longest,
-		Clients: min(sockets/2, memory/3/clientCost), Lanes: min(sockets/2, memory/8/laneCost),
-		PerSearcher: (set.OpenMost + set.Streams - 1) / set.Streams, Parts: set.Streams, Past: 2 * set.Streams, Open: set.OpenMost,
+		Clients: min(sockets/2, memory/3/clientCost),
+		Attempt: attempt.Limits{Lanes: min(sockets/2, memory/8/laneCost), PerSearcher: (set.OpenMost + set.Streams - 1) / set.Streams,
+			Parts: set.Streams, Past: 2 * set.Streams, Open: set.OpenMost, LaneIdle: set.Idle / 5 * 4, LogEvery: 10 * time.Second},
 		Events: 1024, Batch: 256,
 		Processors: int(math.Ceil(c.Cores)), Memory: int64(c.MemoryMB) << 20 / 4 * 3,
 		// Whoever connects is to hear something within three seconds, silent ones too.
 		Head: 8 << 10, ClientHead: 2 * time.Second, ClientRead: 2500 * time.Millisecond,
 		ClientYoung: 100 * time.Millisecond, ClientSpare: 2 * time.Second, ClientIdle: 15 * time.Second,
 		ClientWrite: 2*longest + 5*time.Second,
-		LaneIdle:    set.Idle / 5 * 4, Slack: set.Slack,
+		Slack:       set.Slack,
 		// Who comes last still has the shortest query timeout. Clients whose front has nobody else to lead them to,
 		// as when one mixer after another is restarted, are served on the connections they have till then.
 		StopTell: max(stopAccept, stop-shortest), StopFinish: stop,
@@ -110,6 +106,6 @@
 		Members: member.Limits{Packet: 1400, Queue: 256, Send: time.Second, Rejoin: 2 * time.Second, Leave: time.Second,
 			Probe: 500 * time.Millisecond},
 		Shares: min(1<<14, 8*c.Ours.Duties.Instances), Probe: set.Connect, Load: 64, Audit: 2 * time.Second,
-		LogEvery: 10 * time.Second, LogFirst: 5, LogThereafter: 100,
+		LogFirst: 5, LogThereafter: 100,
 	}
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -78,7 +78,7 @@
 	first := make(chan struct{})
 	var once sync.Once
 	told := func(mode brain.ListMode, l proto.List) {
-		o.post(func() { o.list(mode, l) })
+		o.post(func() { o.List(mode, l) })
 		if mode != brain.Failed {
 			o.post(func() { once.Do(func() { close(first) }) })
 		}
@@ -91,9 +91,8 @@
 		}
 		defer unshow()
 	}
-	o.list(brain.Remembered, m.cfg.Known)
-	o.sweep()
-	o.report()
+	o.List(brain.Remembered, m.cfg.Known)
+	o.Begin()
 
 	done := make(chan struct{})
 	var all sync.WaitGroup
@@ -176,7 +175,7 @@
 func (m *Mixer) finish(srv *http.Server, o *owner) error {
 	m.stopping.Store(true)
 	m.log.Info("stopping")
-	o.post(func() { o.stop(m.lim.StopFinish) })
+	o.post(func() { o.Stop(m.lim.StopFinish) })
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -3,47 +3,36 @@
 import (
 	"context"
 	"runtime/debug"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"peathollow/attempt"
 	"peathollow/brain"
-	"peathollow/duty"
 	"peathollow/internal/config"
 	"peathollow/internal/link"
 	"peathollow/internal/proto"
 )
 
-// owner is the one goroutine that calls the module, and all that only this goroutine may touch. Others hand it
-// closures through post; what it wants done on sockets is queued and never waited for.
+// owner is the one goroutine that drives the life of all that is in hand, and the module with it. Others hand it
+// closures through post; what is wanted done on sockets is queued and never waited for.
 type owner struct {
+	*attempt.Life
 	lim   Limits
-	set   *config.Settings
 	log   *zap.Logger
 	ctx   context.Context // its end closes all connections to searchers
 	start time.Time
-	now   time.Duration
-	m     *brain.Mixer
 	ask   func()
 
-	events chan func()
-	gone   chan struct{} // closed when the owner has ended
-	later  []func()      // results known at once; they wait for the next batch, as if they came from outside
-	timers timers
-	book   book
-	fleet  fleet
-	out    []sending // what the module sent in this batch
-	stopAt time.Duration
-
-	version int64               // of the list held
-	targets func([]duty.Target) // nil where no duties are shared
+	events  chan func()
+	gone    chan struct{}      // closed when the owner has ended
+	targets func([]proto.Host) // nil where no duties are shared
 }
 
 func newOwner(ctx context.Context, c *config.Config, lim Limits, log *zap.Logger, ask func()) *owner {
-	o := &owner{lim: lim, set: &c.Settings, log: log, ctx: ctx, start: time.Now(), ask: ask,
-		events: make(chan func(), lim.Events), gone: make(chan struct{}), book: newBook(), fleet: newFleet()}
-	o.m = brain.New(o.set.Brain, o, 0)
+	o := &owner{lim: lim, log: log, ctx: ctx, start: time.Now(), ask: ask,
+		events: make(chan func(), lim.Events), gone: make(chan struct{})}
+	o.Life = attempt.New(&c.Settings, lim.Attempt, outside{o}, o.start)
 	return o
 }
 
@@ -63,8 +52,8 @@
 	defer clock.Stop()
 	for {
 		var first func()
-		if len(o.later) == 0 {
-			clock.Reset(o.timers.next(time.Since(o.start)))
+		if wait := o.Next(time.Since(o.start)); wait > 0 {
+			clock.Reset(wait)
 			select {
 			case first = <-o.events:
 			case <-clock.C:
@@ -73,7 +62,7 @@
 			}
 		}
 		if o.lim.Gather > 0 {
-			clock.Reset(max(0, o.now+o.lim.Gather-time.Since(o.start)))
+			clock.Reset(max(0, o.Now()+o.lim.Gather-time.Since(o.start)))
 			select {
 			case <-clock.C:
 			case <-done:
@@ -86,13 +75,7 @@
 
 // batch handles what has come in under one reading of the clock, then sends what the module wants sent.
 func (o *owner) batch(first func()) {
-	o.now = time.Since(o.start)
-	o.m.At(o.now)
-	ready := o.later
-	o.later = nil
-	for _, f := range ready {
-		o.guard(f)
-	}
+	o.At(time.Since(o.start), o.guard)
 	if first != nil {
 		o.guard(first)
 	}
@@ -105,10 +88,7 @@
 		}
 		break
 	}
-	for f := o.timers.due(o.now); f != nil; f = o.timers.due(o.now) {
-		o.guard(f)
-	}
-	o.guard(o.flush)
+	o.Due(o.guard)
 }
 
 // guard keeps a panic from ending the process: every scan in hand is answered, and the module starts anew.
@@ -119,108 +99,64 @@
 			return
 		}
 		o.log.Error("panic in a step", zap.Any("panic", e), zap.ByteString("stack", debug.Stack()))
-		o.restart()
+		o.Restart()
 	}()
 	f()
 }
 
-func (o *owner) restart() {
-	o.later, o.out, o.timers = nil, nil, timers{}
-	for _, s := range o.book.scans {
-		s.reply <- answer{kind: abandoned}
-	}
-	last := o.book.lastID // old ids may still be heard of
-	o.book = newBook()
-	o.book.lastID = last
-	for _, s := range o.fleet.srvs {
-		s.live = 0
-		for _, l := range s.lanes {
-			clear(l.out)
-			l.retire()
-		}
-	}
-	o.m = brain.New(o.set.Brain, o, o.now)
-	o.m.At(o.now)
-	o.relist()
-	o.sweep()
-	o.report()
-	if o.stopAt > 0 {
-		o.stop(o.stopAt - o.now)
-	}
-}
+// outside is the port of what is in hand: sockets and the log.
+type outside struct{ o *owner }
 
-// Wake and Subscribe are actions of the module.
-func (o *owner) Wake(at time.Duration, token uint64) {
-	o.timers.add(at, func() { o.m.Woke(token) })
+func (p outside) Open(addr string, l *attempt.Lane) attempt.Conn {
+	return link.Open(p.o.ctx, addr, p.o.lim.Link, lane{p.o, l})
 }
 
-func (o *owner) Subscribe() {
-	if o.ask != nil {
-		o.ask()
+func (p outside) Ask() {
+	if p.o.ask != nil {
+		p.o.ask()
 	}
 }
 
-// Answered, Told, Closing and Closed come from the connections' goroutines.
-func (l *lane) Answered(_ *link.Conn, a proto.Answer, more bool) {
-	l.o.post(func() { l.o.answered(l, a, more) })
+func (p outside) Lost(searcher string, parts int, why error) {
+	p.o.log.Warn("connection lost", zap.String("searcher", searcher), zap.Int("parts", parts), zap.Error(why))
 }
-func (l *lane) Told(_ *link.Conn, seqs []uint64) { l.o.post(func() { l.o.givenUp(l, seqs) }) }
-func (l *lane) Closing(_ *link.Conn, why error)  { l.o.post(func() { l.o.closing(l, why) }) }
-func (l *lane) Closed(_ *link.Conn, heard bool)  { l.o.post(func() { l.o.closed(l, heard) }) }
-
-// timers is a heap of what is due, earliest first, in the order of setting where times are equal.
-type timers struct {
-	heap []timer
-	n    uint64
+
+func (p outside) InDoubt(searcher string, parts int) {
+	p.o.log.Warn("no word of what was out", zap.String("searcher", searcher), zap.Int("parts", parts))
 }
 
-type timer struct {
-	at time.Duration
-	n  uint64
-	f  func()
+func (p outside) Listed(l proto.List) {
+	p.o.log.Info("list", zap.Int64("version", l.Version), zap.Bool("whole", l.Whole), zap.Int("entries", len(l.Hosts)))
+	if p.o.targets != nil {
+		p.o.targets(p.o.Hosts())
+	}
 }
 
-func (t timer) before(u timer) bool { return t.at < u.at || t.at == u.at && t.n < u.n }
+func (p outside) Silent() { p.o.log.Warn("discovery does not answer") }
 
-func (t *timers) add(at time.Duration, f func()) {
-	t.n++
-	t.heap = append(t.heap, timer{at, t.n, f})
-	for i := len(t.heap) - 1; i > 0; {
-		up := (i - 1) / 2
-		if !t.heap[i].before(t.heap[up]) {
-			break
+// Tally writes one line however much ended: the log counts as memory.
+func (p outside) Tally(t attempt.Tally) {
+	ends := map[string]int{}
+	for i, name := range []string{"pass", "fault", "no room", "too slow", "no route", "cut", "undone", "stale"} {
+		if n := t.Parts[brain.Outcome(i)]; n > 0 {
+			ends[name] = n
 		}
-		t.heap[i], t.heap[up] = t.heap[up], t.heap[i]
-		i = up
 	}
+	p.o.log.Info("tally", zap.Int("completed", t.Scans[attempt.Completed]), zap.Int("throttled", t.Scans[attempt.Throttled]),
+		zap.Int("abandoned", t.Scans[attempt.Abandoned]), zap.Int("left", t.Left), zap.Int("full", t.Full),
+		zap.Int("unfit", t.Scans[attempt.Unfit]), zap.Int("doubt", t.Doubt), zap.Int("open", t.Open),
+		zap.Int("connections", t.Lanes), zap.Any("dispatches", ends))
 }
 
-// due takes out the first timer whose time has come.
-func (t *timers) due(now time.Duration) func() {
-	if len(t.heap) == 0 || t.heap[0].at > now {
-		return nil
-	}
-	f, end := t.heap[0].f, len(t.heap)-1
-	t.heap[0] = t.heap[end]
-	t.heap = slices.Delete(t.heap, end, end+1)
-	for i := 0; ; {
-		low := i
-		for k := 2*i + 1; k <= 2*i+2 && k < end; k++ {
-			if t.heap[k].before(t.heap[low]) {
-				low = k
-			}
-		}
-		if low == i {
-			return f
-		}
-		t.heap[i], t.heap[low] = t.heap[low], t.heap[i]
-		i = low
-	}
+// lane hands the owner what comes from a connection's goroutines.
+type lane struct {
+	o *owner
+	l *attempt.Lane
 }
 
-func (t *timers) next(now time.Duration) time.Duration {
-	if len(t.heap) == 0 {
-		return time.Hour
-	}
-	return max(0, t.heap[0].at-now)
+func (l lane) Answered(_ *link.Conn, a proto.Answer, more bool) {
+	l.o.post(func() { l.o.Life.Answered(l.l, a, more) })
 }
+func (l lane) Told(_ *link.Conn, seqs []uint64) { l.o.post(func() { l.o.Life.Told(l.l, seqs) }) }
+func (l lane) Closing(_ *link.Conn, why error)  { l.o.post(func() { l.o.Life.Closing(l.l, why) }) }
+func (l lane) Closed(_ *link.Conn, heard bool)  { l.o.post(func() { l.o.Life.Closed(l.l, heard) }) }
