--- a/attempt/life.go
+++ b/attempt/life.go
@@ -73,6 +73,7 @@
 	book   book
 	fleet  fleet
 	out    []sending // what the module sent in this batch
+	leave  func()    // flush, made into a value once: a batch allocates nothing for it
 	stopAt time.Duration
 
 	version int64 // of the list held
@@ -81,6 +82,7 @@
 // New makes one that holds nothing. Times are counted from start.
 func New(set *config.Settings, lim Limits, port Port, start time.Time) *Life {
 	o := &Life{lim: lim, set: set, port: port, start: start, book: newBook(), fleet: newFleet()}
+	o.leave = o.flush
 	o.m = brain.New(set.Brain, o, 0)
 	return o
 }
@@ -107,7 +109,7 @@
 	for f := o.timers.due(o.now); f != nil; f = o.timers.due(o.now) {
 		guard(f)
 	}
-	guard(o.flush)
+	guard(o.leave)
 }
 
 // Next is how long nothing is to be done if nothing happens.
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -23,6 +23,7 @@
 	ctx   context.Context // its end closes all connections to searchers
 	start time.Time
 	ask   func()
+	step  func(func()) // guard, made into a value once
 
 	events  chan func()
 	gone    chan struct{}      // closed when the owner has ended
@@ -32,6 +33,7 @@
 func newOwner(ctx context.Context, c *config.Config, lim Limits, log *zap.Logger, ask func()) *owner {
 	o := &owner{lim: lim, log: log, ctx: ctx, start: time.Now(), ask: ask,
 		events: make(chan func(), lim.Events), gone: make(chan struct{})}
+	o.step = o.guard
 	o.Life = attempt.New(&c.Settings, lim.Attempt, outside{o}, o.start)
 	return o
 }
@@ -75,7 +77,7 @@
 
 // batch handles what has come in under one reading of the clock, then sends what the module wants sent.
 func (o *owner) batch(first func()) {
-	o.At(time.Since(o.start), o.guard)
+	o.At(time.Since(o.start), o.step)
 	if first != nil {
 		o.guard(first)
 	}
@@ -88,7 +90,7 @@
 		}
 		break
 	}
-	o.Due(o.guard)
+	o.Due(o.step)
 }
 
 // guard keeps a panic from ending the process: every scan in hand is answered, and the module starts anew.
