Tidy: the shortest interval is found in one place, a field nothing read is gone

Found on reading the change again: Core.New and tell each looked for the shortest interval; an instance of the simulation kept a time nobody read; a comment said nothing.

--- a/duty/core.go
+++ b/duty/core.go
@@ -12,7 +12,7 @@
 const (
 	turnPart   = 2    // the turns of all instances together make 1/turnPart of the intended rate
 	patience   = 2.5  // intervals without a word, and patienceL leases, before a turn is taken out of the lease
-	patienceL  = 2    //
+	patienceL  = 2    // leases
 	drift      = 0.01 // by which clocks may run apart over a lease, generously
 	leapPart   = 4    // of a lease: a step of the clock longer than that is no time that passed
 	renewPart  = 3    // of a lease: claims go out that often
@@ -125,12 +125,8 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	shortest := s.Kinds[0].Interval
-	for _, k := range s.Kinds {
-		shortest = min(shortest, k.Interval)
-	}
 	c := &Core{set: s, act: act, raw: now, now: now, mute: now + s.promise(), peers: map[string]*peer{},
-		shares: make([]share, s.Shares), plans: map[uint64]plan{}, wheel: NewWheel(max(time.Millisecond, shortest/512), now)}
+		shares: make([]share, s.Shares), plans: map[uint64]plan{}, wheel: NewWheel(max(time.Millisecond, s.shortest()/512), now)}
 	for range s.Kinds {
 		c.byID = append(c.byID, map[uint64]int32{})
 	}
@@ -149,6 +145,15 @@
 
 func (s *Settings) leap() time.Duration { return s.Lease / leapPart }
 
+// shortest is the interval that sets how fine time is cut.
+func (s *Settings) shortest() time.Duration {
+	d := s.Kinds[0].Interval
+	for _, k := range s.Kinds {
+		d = min(d, k.Interval)
+	}
+	return d
+}
+
 func (s *Settings) majority() int { return s.Instances/2 + 1 }
 
 // Tick is how often At must be called at the least for its steps to be told from pauses.
@@ -468,11 +473,7 @@
 
 // tell says what was done since the last time.
 func (c *Core) tell() {
-	shortest := c.set.Kinds[0].Interval
-	for _, k := range c.set.Kinds {
-		shortest = min(shortest, k.Interval)
-	}
-	c.batch = c.now + shortest/sharePart
+	c.batch = c.now + c.set.shortest()/sharePart
 	for len(c.say) > 0 {
 		n := min(len(c.say), batchMost)
 		rs := make([]Result, 0, n)
--- a/duty/dutysim/world.go
+++ b/duty/dutysim/world.go
@@ -58,8 +58,7 @@
 	heard []time.Duration // by instance: when its last sign of life came here
 	view  string
 	wake  uint64
-	held  []*event // what came while it was paused
-	begun time.Duration
+	held  []*event      // what came while it was paused
 	again bool          // a planted fault: what is written is written twice
 	turn  bool          // the permit last asked was for a turn
 	froze time.Duration // when it was last paused so long that no lease can have outlived it
@@ -202,7 +201,7 @@
 func (i *instance) start() error {
 	w := i.w
 	i.inc++
-	i.up, i.till, i.begun, i.view, i.held = true, 0, w.now, "", nil
+	i.up, i.till, i.view, i.held = true, 0, "", nil
 	for k := range i.heard {
 		i.heard[k] = -time.Hour
 	}
