Timers and results of an attempt's life are data, its module an interface

The explorer must tell the whole state of what is in hand: closures in the timer heap and among the results that wait for the next batch hid it. They are now tasks, plain values; the module stands behind attempt.Decider, made anew by the function handed in. After a panic and at the end of the process scans are walked in the order they came, not in a map's: the same events give the same actions.

--- a/attempt/admit.go
+++ b/attempt/admit.go
@@ -84,9 +84,5 @@
 // Stop makes everything end by then: new scans get no more time than that, and what is left is Abandoned.
 func (o *Life) Stop(by time.Duration) {
 	o.stopAt = o.now + by
-	o.timers.add(o.stopAt, func() {
-		for _, s := range o.book.scans {
-			o.Left(s)
-		}
-	})
+	o.timers.add(o.stopAt, task{what: leaveAll})
 }
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -169,7 +169,7 @@
 	}
 	pass("x.3")
 	for _, f := range o.later {
-		f()
+		o.do(f)
 	}
 	if o.book.open != 3 {
 		t.Errorf("%d held in the second step", o.book.open)
@@ -200,7 +200,7 @@
 			t.Error("a part waits to leave after the end")
 		}
 		for _, f := range o.later {
-			f()
+			o.do(f)
 		}
 		if len(o.book.parts) > 0 || len(o.book.byWire) > 0 || o.book.open > 0 {
 			t.Errorf("still held: %v", o.book)
@@ -234,7 +234,7 @@
 		}
 		o.Left(s)
 		for _, f := range o.later {
-			f()
+			o.do(f)
 		}
 		o.later = nil
 		if dice.Intn(3) == 0 {
@@ -329,7 +329,7 @@
 			o.Left(s)
 		}
 		for _, f := range o.later {
-			f()
+			o.do(f)
 		}
 		if len(o.book.parts) > 0 || p.tries[0].out || p.live != 0 {
 			t.Errorf("%s: parts are left", c.name)
@@ -343,16 +343,15 @@
 	last, n := time.Duration(-1), 0
 	for range 500 {
 		at := time.Duration(dice.Intn(50))
-		q.add(at, func() {
-			if at < last {
-				t.Errorf("%d after %d", at, last)
-			}
-			last = at
-			n++
-		})
+		q.add(at, task{token: uint64(at)})
 	}
-	for f := q.due(50); f != nil; f = q.due(50) {
-		f()
+	for f, ok := q.due(50); ok; f, ok = q.due(50) {
+		if at := time.Duration(f.token); at < last {
+			t.Errorf("%d after %d", at, last)
+		} else {
+			last = at
+		}
+		n++
 	}
 	if n != 500 || q.next(0) != time.Hour {
 		t.Errorf("%d ran", n)
--- a/attempt/book.go
+++ b/attempt/book.go
@@ -1,6 +1,9 @@
 package attempt
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"peathollow/brain"
@@ -81,6 +84,11 @@
 	b.open++
 }
 
+// inOrder are the scans held, oldest first: the same events give the same actions.
+func (b *book) inOrder() []*Scan {
+	return slices.SortedFunc(maps.Values(b.scans), func(a, b *Scan) int { return cmp.Compare(a.id, b.id) })
+}
+
 func (b *book) addPart(s *Scan, shard int, wire string) *part {
 	p := &part{id: b.id(), scan: s, shard: shard, wire: wire}
 	s.parts = append(s.parts, p)
@@ -133,7 +141,7 @@
 
 // report tells what ended of late, once however much it is.
 func (o *Life) report() {
-	o.timers.add(o.now+o.lim.LogEvery, o.report)
+	o.timers.add(o.now+o.lim.LogEvery, task{what: report})
 	t := o.book.tally
 	if t == (Tally{}) {
 		return
@@ -145,7 +153,7 @@
 
 // returnLater is returned for an end that is known at once: the module is never called from its own actions.
 func (o *Life) returnLater(p *part, no int, end brain.Outcome) {
-	o.later = append(o.later, func() { o.returned(p, no, end) })
+	o.later = append(o.later, task{what: back, p: p, no: no, end: end})
 }
 
 // returned books how a dispatch ended and tells the module.
--- a/attempt/life.go
+++ b/attempt/life.go
@@ -59,6 +59,22 @@
 	Fault error
 }
 
+// Decider is what decides on all that is in hand: the module, or what the explorer puts in its place. It acts through
+// the brain.Actions it was given, within these calls.
+type Decider interface {
+	At(now time.Duration)
+	ListBegin(mode brain.ListMode)
+	ListEntry(i int, st brain.Standing, weight float64, started time.Duration, cell int)
+	ListEnd(mode brain.ListMode)
+	Scan(id, no uint64, class, tenant int, left, work time.Duration, parts int, repeat bool)
+	Part(id, no uint64, shard int, weight float64)
+	Returned(id uint64, no int, out brain.Outcome, took time.Duration)
+	Left(id uint64)
+	Woke(token uint64)
+	Forget(i int)
+	Probed(i int, ago time.Duration, answered bool)
+}
+
 // Life is all that is in hand, and the module that decides on it.
 type Life struct {
 	lim   Limits
@@ -66,10 +82,13 @@
 	port  Port
 	start time.Time // what times are counted from; never read as a clock
 	now   time.Duration
-	m     *brain.Mixer
+	fresh func(brain.Actions, time.Duration) Decider
+	m     Decider
 
-	later  []func() // results known at once; they wait for the next batch, as if they came from outside
+	later  []task // results known at once; they wait for the next batch, as if they came from outside
 	timers timers
+	next   task   // what run is about to do
+	run    func() // made into a value once
 	book   book
 	fleet  fleet
 	out    []sending // what the module sent in this batch
@@ -81,9 +100,18 @@
 
 // New makes one that holds nothing. Times are counted from start.
 func New(set *config.Settings, lim Limits, port Port, start time.Time) *Life {
-	o := &Life{lim: lim, set: set, port: port, start: start, book: newBook(), fleet: newFleet()}
+	return NewWith(set, lim, port, start, func(act brain.Actions, now time.Duration) Decider {
+		return brain.New(set.Brain, act, now)
+	})
+}
+
+// NewWith makes one that something else than the module decides for; fresh is called again after a panic.
+func NewWith(set *config.Settings, lim Limits, port Port, start time.Time,
+	fresh func(act brain.Actions, now time.Duration) Decider) *Life {
+	o := &Life{lim: lim, set: set, port: port, start: start, fresh: fresh, book: newBook(), fleet: newFleet()}
 	o.leave = o.flush
-	o.m = brain.New(set.Brain, o, 0)
+	o.run = func() { o.do(o.next) }
+	o.m = fresh(o, 0)
 	return o
 }
 
@@ -99,15 +127,17 @@
 	o.m.At(now)
 	ready := o.later
 	o.later = nil
-	for _, f := range ready {
-		guard(f)
+	for _, t := range ready {
+		o.next = t
+		guard(o.run)
 	}
 }
 
 // Due does what its time has come for, then sends what the module wants sent. It closes a batch.
 func (o *Life) Due(guard func(func())) {
-	for f := o.timers.due(o.now); f != nil; f = o.timers.due(o.now) {
-		guard(f)
+	for t, ok := o.timers.due(o.now); ok; t, ok = o.timers.due(o.now) {
+		o.next = t
+		guard(o.run)
 	}
 	guard(o.leave)
 }
@@ -126,7 +156,7 @@
 // Restart follows a panic: every scan in hand is answered, and the module starts anew with the list as known.
 func (o *Life) Restart() {
 	o.later, o.out, o.timers = nil, nil, timers{}
-	for _, s := range o.book.scans {
+	for _, s := range o.book.inOrder() {
 		s.Reply(Answer{Kind: Abandoned})
 	}
 	last := o.book.lastID // old ids may still be heard of
@@ -139,7 +169,7 @@
 			l.retire()
 		}
 	}
-	o.m = brain.New(o.set.Brain, o, o.now)
+	o.m = o.fresh(o, o.now)
 	o.m.At(o.now)
 	o.relist()
 	o.Begin()
@@ -150,7 +180,7 @@
 
 // Wake and Subscribe are actions of the module.
 func (o *Life) Wake(at time.Duration, token uint64) {
-	o.timers.add(at, func() { o.m.Woke(token) })
+	o.timers.add(at, task{what: wake, token: token})
 }
 
 func (o *Life) Subscribe() { o.port.Ask() }
--- a/attempt/relay.go
+++ b/attempt/relay.go
@@ -129,15 +129,18 @@
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.shard, b.shard))
 	})
 	o.closeStep(s)
-	o.later = append(o.later, func() {
-		if o.book.scans[s.id] != s {
-			return
-		}
-		for _, p := range in[:n] {
-			next := o.book.addPart(s, p.shard, p.wire+".fetch")
-			o.m.Part(next.id, s.no, next.shard, 1/float64(n))
-		}
-	})
+	o.later = append(o.later, task{what: goOn, s: s, in: in[:n]})
+}
+
+// goOn hands the parts of the second step over.
+func (o *Life) goOn(s *Scan, in []*part) {
+	if o.book.scans[s.id] != s {
+		return
+	}
+	for _, p := range in {
+		next := o.book.addPart(s, p.shard, p.wire+".fetch")
+		o.m.Part(next.id, s.no, next.shard, 1/float64(len(in)))
+	}
 }
 
 // Throttle is an action of the module: asking again is harmless.
--- a/attempt/route.go
+++ b/attempt/route.go
@@ -219,7 +219,7 @@
 
 // sweep closes connections before the searchers do, which would cost what is being written to them.
 func (o *Life) sweep() {
-	o.timers.add(o.now+o.lim.LaneIdle/10, o.sweep)
+	o.timers.add(o.now+o.lim.LaneIdle/10, task{what: sweep})
 	o.clear()
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
--- a/attempt/send.go
+++ b/attempt/send.go
@@ -81,7 +81,7 @@
 		t := &c.p.tries[c.no]
 		t.lane, t.seq = l, seq
 		l.out[c.p], l.used = c.no, o.now
-		o.timers.add(t.until, func() { o.giveUp(c.p, c.no, brain.TooSlow) })
+		o.timers.add(t.until, task{what: tooSlow, p: c.p, no: c.no})
 	}
 }
 
--- a/attempt/timers.go
+++ b/attempt/timers.go
@@ -3,8 +3,54 @@
 import (
 	"slices"
 	"time"
+
+	"peathollow/brain"
+)
+
+// task is something that is to be done later. It is data and no closure, so that what is in hand can be told.
+type task struct {
+	what  work
+	no    int
+	end   brain.Outcome
+	p     *part
+	s     *Scan
+	in    []*part
+	token uint64
+}
+
+type work uint8
+
+const (
+	wake     work = iota // the module, with its token
+	tooSlow              // give up a dispatch whose time is over
+	back                 // a dispatch that ended within the batch before
+	goOn                 // to the second step
+	sweep                // connections that lie idle
+	report               // what ended of late
+	leaveAll             // the process ends
 )
 
+func (o *Life) do(t task) {
+	switch t.what {
+	case wake:
+		o.m.Woke(t.token)
+	case tooSlow:
+		o.giveUp(t.p, t.no, brain.TooSlow)
+	case back:
+		o.returned(t.p, t.no, t.end)
+	case goOn:
+		o.goOn(t.s, t.in)
+	case sweep:
+		o.sweep()
+	case report:
+		o.report()
+	case leaveAll:
+		for _, s := range o.book.inOrder() {
+			o.Left(s)
+		}
+	}
+}
+
 // timers is a heap of what is due, earliest first, in the order of setting where times are equal.
 type timers struct {
 	heap []timer
@@ -14,12 +60,12 @@
 type timer struct {
 	at time.Duration
 	n  uint64
-	f  func()
+	task
 }
 
 func (t timer) before(u timer) bool { return t.at < u.at || t.at == u.at && t.n < u.n }
 
-func (t *timers) add(at time.Duration, f func()) {
+func (t *timers) add(at time.Duration, f task) {
 	t.n++
 	t.heap = append(t.heap, timer{at, t.n, f})
 	for i := len(t.heap) - 1; i > 0; {
@@ -33,11 +79,11 @@
 }
 
 // due takes out the first timer whose time has come.
-func (t *timers) due(now time.Duration) func() {
+func (t *timers) due(now time.Duration) (f task, ok bool) {
 	if len(t.heap) == 0 || t.heap[0].at > now {
-		return nil
+		return task{}, false
 	}
-	f, end := t.heap[0].f, len(t.heap)-1
+	f, end := t.heap[0].task, len(t.heap)-1
 	t.heap[0] = t.heap[end]
 	t.heap = slices.Delete(t.heap, end, end+1)
 	for i := 0; ; {
@@ -48,7 +94,7 @@
 			}
 		}
 		if low == i {
-			return f
+			return f, true
 		}
 		t.heap[i], t.heap[low] = t.heap[low], t.heap[i]
 		i = low
