--- a/brain/brain.go
+++ b/brain/brain.go
@@ -420,14 +420,9 @@
 	return max(lat, 1e-3)
 }
 
-// stuck guards against a searcher that takes parts and answers none. One never heard from is suspected as soon as
-// its part is late: each of many mixers meets a silent searcher first, and alone; a wrong guess costs a receipt.
+// stuck guards against a searcher that takes parts and answers none.
 func (m *Mixer) stuck(s *srv) bool {
-	lats := silentLats
-	if !s.lat.heard {
-		lats = 1
-	}
-	return s.parts > 0 && m.lat.heard && (m.now-s.since).Seconds() > lats*m.lat.v+hedgeDevs*m.dev.v
+	return s.parts > 0 && m.lat.heard && (m.now-s.since).Seconds() > silentLats*m.lat.v+hedgeDevs*m.dev.v
 }
 
 // sick tells of a searcher kept off after failures, but for one part at a time to try it, or of a silent one.
