An unreachable searcher waits behind sound holders until a list could tell of it

A mixer sees a scan every second or so, and the keeping-off after a failed connect lasts 0.5 to 4 s (brain.failed), so once it lapsed the searcher counted as sound (brain.sick) and the next scan risked the 250 ms connect time there again. Change: while down, it ranks as sick for the list's interval (askEvery, from the settings): sound holders go first; alone it is still tried by one part at a time.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -425,8 +425,13 @@
 	return s.parts > 0 && m.lat.heard && (m.now-s.since).Seconds() > silentLats*m.lat.v+hedgeDevs*m.dev.v
 }
 
-// sick tells of a searcher kept off after failures, but for one part at a time to try it, or of a silent one.
-func (m *Mixer) sick(s *srv) bool { return m.now < s.box || s.fails > 0 && s.parts > 0 || m.stuck(s) }
+// sick tells of a searcher kept off after failures, but for one part at a time to try it, or of a silent
+// one; one that could not be reached waits behind sound holders till a list could have told of it, as a
+// mixer with few scans would else risk the connect time there in each. It could leave one that is back
+// unused while others are sound.
+func (m *Mixer) sick(s *srv) bool {
+	return m.now < s.box || s.fails > 0 && s.parts > 0 || m.stuck(s) || s.down && m.now-s.failAt < m.askEvery
+}
 
 // pick applies the replica rule among the shard's holders; sound ones go first, ones tried already last.
 func (m *Mixer) pick(p *part, fair int) int32 {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -457,6 +457,25 @@
 	}
 }
 
+// A mixer of a large fleet sees a scan every second or so: a searcher it could not reach, once its short
+// keeping-off was over, met nearly every scan again and cost a part the connect time, while sound holders
+// stood by.
+func TestAnUnreachableSearcherWaitsBehindSoundOnes(t *testing.T) {
+	w := settled()
+	w.srvs[0].mood = NoRoute
+	for w.srvs[0].sends = nil; len(w.srvs[0].sends) == 0; {
+		load(w, 0, 8, 20*tms, 20*tms) // until a part meets it
+	}
+	w.run(time.Second)
+	w.srvs[0].sends = nil
+	for range 8 { // scans of all shards, one a second, short of when a list could have told of it
+		load(w, 0, 8, time.Second, time.Second)
+	}
+	if n := len(w.srvs[0].sends); n > 0 || w.broken != "" {
+		t.Errorf("%d parts risked at an unreachable searcher beside sound holders %s", n, w.broken)
+	}
+}
+
 func TestFailingSearcherIsTriedByOnePart(t *testing.T) {
 	w := newWorld(settings(table()), 1, 1)
 	w.m.srvs[0].lat, w.m.srvs[1].lat = smooth{v: 0.01, heard: true}, smooth{v: 0.2, heard: true}
