--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// warm has the mixer learn its searchers from scans that pass: what is silent for long is told by what others took.
+func (w *world) warm() {
+	w.t.Helper()
+	for i := range 30 {
+		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "800m", body(1, 3, 5, 7)); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
 func (w *world) close() {
 	w.t.Helper()
 	w.stop()
@@ -449,11 +459,7 @@
 		return standin.Reply{End: 200, Silent: try == 0 && strings.HasPrefix(c.ID, "stuck")}
 	}, nil)
 	defer w.close()
-	for i := range 30 { // what is silent for long is told by what others took
-		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "800m", body(1, 3, 5, 7)); err != nil {
-			t.Fatal(err)
-		}
-	}
+	w.warm()
 	if g, err := w.ask("stuck", "narrow", "800m", body(1)); err != nil || g.status != 200 {
 		t.Fatalf("%+v %v", g, err)
 	}
@@ -479,11 +485,7 @@
 			Mute: try == 0 && strings.HasPrefix(c.ID, "mute")}
 	}, nil)
 	defer w.close()
-	for i := range 30 { // what is silent for long is told by what others took
-		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "800m", body(1, 3, 5, 7)); err != nil {
-			t.Fatal(err)
-		}
-	}
+	w.warm()
 	if g, err := w.ask("mute", "narrow", "800m", body(1)); err != nil || g.status != 200 {
 		t.Fatalf("%+v %v", g, err)
 	}
@@ -737,11 +739,7 @@
 		return r
 	}, nil)
 	defer w.close()
-	for i := range 30 {
-		if _, err := w.ask(fmt.Sprint("a", i), "narrow", "800m", body(1, 3, 5, 7)); err != nil {
-			t.Fatal(err)
-		}
-	}
+	w.warm()
 	if g, err := w.ask("stuck", "narrow", "800m", body(1)); err != nil || g.status != 200 {
 		t.Errorf("%+v %v", g, err)
 	}
