A searcher the list tells has started anew is no longer held unreachable

Cause: ListEntry forgets an earlier process's latency, failures and keeping-off when the start time changes, but kept 'down'; since the last change a down searcher waits behind sound holders, so a replaced one stayed unused. Change: 'down' is cleared with the rest. Test without the bench: 0 parts to the restarted searcher before, some now.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -118,7 +118,7 @@
 	s := &m.srvs[i]
 	if s.started != started || (s.state == Gone && st == Ready) {
 		// What an earlier process showed says nothing of the one that took its place.
-		s.lat, s.fails, s.box, s.full = smooth{}, 0, 0, 0
+		s.lat, s.fails, s.box, s.full, s.down = smooth{}, 0, 0, 0, false
 		s.cold = bucket{at: m.now, level: m.dice.roll(0)}
 	}
 	s.listed, s.state, s.weight, s.started, s.cell = true, st, weight, started, cell
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -476,6 +476,26 @@
 	}
 }
 
+// A searcher that could not be reached and is told to have started anew is a new process: it is used again at
+// once, within its cold budget, and not kept behind the others as the earlier one was.
+func TestARestartedSearcherIsNoLongerUnreachable(t *testing.T) {
+	w := settled()
+	w.srvs[0].mood = NoRoute
+	for w.srvs[0].sends = nil; len(w.srvs[0].sends) == 0; {
+		load(w, 0, 8, 20*tms, 20*tms) // until a part meets it
+	}
+	w.run(time.Second)
+	w.srvs[0].mood = Pass
+	w.tell(0, Ready, w.now)
+	w.srvs[0].sends = nil
+	for range 4 {
+		load(w, 0, 8, time.Second, time.Second)
+	}
+	if n := len(w.srvs[0].sends); n == 0 || w.broken != "" {
+		t.Errorf("%d parts to a searcher told to have restarted %s", n, w.broken)
+	}
+}
+
 func TestFailingSearcherIsTriedByOnePart(t *testing.T) {
 	w := newWorld(settings(table()), 1, 1)
 	w.m.srvs[0].lat, w.m.srvs[1].lat = smooth{v: 0.01, heard: true}, smooth{v: 0.2, heard: true}
