--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -457,16 +457,22 @@
 	}
 }
 
-// A mixer of a large fleet sees a scan every second or so: a searcher it could not reach, once its short
-// keeping-off was over, met nearly every scan again and cost a part the connect time, while sound holders
-// stood by.
-func TestAnUnreachableSearcherWaitsBehindSoundOnes(t *testing.T) {
+// unreachable is a settled world whose first searcher a part has failed to reach a second ago.
+func unreachable() *world {
 	w := settled()
 	w.srvs[0].mood = NoRoute
 	for w.srvs[0].sends = nil; len(w.srvs[0].sends) == 0; {
 		load(w, 0, 8, 20*tms, 20*tms) // until a part meets it
 	}
 	w.run(time.Second)
+	return w
+}
+
+// A mixer of a large fleet sees a scan every second or so: a searcher it could not reach, once its short
+// keeping-off was over, met nearly every scan again and cost a part the connect time, while sound holders
+// stood by.
+func TestAnUnreachableSearcherWaitsBehindSoundOnes(t *testing.T) {
+	w := unreachable()
 	w.srvs[0].sends = nil
 	for range 8 { // scans of all shards, one a second, short of when a list could have told of it
 		load(w, 0, 8, time.Second, time.Second)
@@ -479,12 +485,7 @@
 // A searcher that could not be reached and is told to have started anew is a new process: it is used again at
 // once, within its cold budget, and not kept behind the others as the earlier one was.
 func TestARestartedSearcherIsNoLongerUnreachable(t *testing.T) {
-	w := settled()
-	w.srvs[0].mood = NoRoute
-	for w.srvs[0].sends = nil; len(w.srvs[0].sends) == 0; {
-		load(w, 0, 8, 20*tms, 20*tms) // until a part meets it
-	}
-	w.run(time.Second)
+	w := unreachable()
 	w.srvs[0].mood = Pass
 	w.tell(0, Ready, w.now)
 	w.srvs[0].sends = nil
--- a/mixer/mixer_test.go
+++ b/mixer/mixer_test.go
@@ -481,8 +481,8 @@
 // size each mixer meets such a searcher first and alone, and pays this wait in a scan's target each time.
 func TestASilentSearcherIsLeftSoon(t *testing.T) {
 	w := start(t, 4, func(_, try int, c proto.Call) standin.Reply {
-		return standin.Reply{End: 200, Silent: try == 0 && strings.HasPrefix(c.ID, "mute"),
-			Mute: try == 0 && strings.HasPrefix(c.ID, "mute")}
+		first := try == 0 && strings.HasPrefix(c.ID, "mute")
+		return standin.Reply{End: 200, Silent: first, Mute: first}
 	}, nil)
 	defer w.close()
 	w.warm()
