--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,7 +21,6 @@
 // Limits are the sizes and times of a connection.
 type Limits struct {
 	Receipt time.Duration // for a searcher to say anything once it is asked for a receipt
-	First   time.Duration // the same on a connection it has said nothing on yet: its first words wait on its handshake
 	Linger  time.Duration // for the searcher's end of a connection that this mixer has ended
 	Frame   int           // bytes of a frame from a searcher
 	Queue   int           // frames that wait to be written
@@ -340,13 +339,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := a.probe
-	// A searcher reads nothing on a new connection till it has done the handshake's work, which waits behind all
-	// else it does: silence then says it is busy, not gone, and cutting it costs that work again elsewhere.
-	receipt := c.lim.Receipt
-	if before == 0 {
-		receipt = max(receipt, c.lim.First)
-	}
-	a.clock = time.AfterFunc(max(wait, receipt), func() {
+	a.clock = time.AfterFunc(max(wait, c.lim.Receipt), func() {
 		if c.heard.Load() == before {
 			c.Fail(proto.ErrMute)
 		}
@@ -361,7 +354,7 @@
 		}
 		c.mu.Unlock()
 		if i >= 0 {
-			p.Done(Probed{Sent: true, Took: max(wait, receipt)})
+			p.Done(Probed{Sent: true, Took: max(wait, c.lim.Receipt)})
 		}
 	})
 	if c.asked = append(c.asked, a); len(c.asked) > c.lim.Queue {
