--- a/mixer/limits.go
+++ b/mixer/limits.go
@@ -100,7 +100,7 @@
 		StopTell: max(stopAccept, stop-shortest), StopFinish: stop,
 		ReadyWait: 500 * time.Millisecond,
 		Link: link.Limits{Frame: 128 << 10, Queue: 1024, Connect: set.Connect, Write: set.Connect, Rest: set.Connect / 2,
-			Receipt: set.Connect / 10, Linger: 2 * set.Connect, Word: 256, Keep: 4 << 10},
+			Receipt: set.Connect / 5, Linger: 2 * set.Connect, Word: 256, Keep: 4 << 10},
 		Discovery: discovery.Limits{Body: int64(min(8<<20, memory/16)), Call: 1500 * time.Millisecond, Wait: 4 * time.Second,
 			Pause: time.Second},
 		Members: member.Limits{Packet: 1400, Queue: 256, Send: time.Second, Rejoin: 2 * time.Second, Leave: time.Second,
