A late part is called off only for a sound holder clearly quicker; admission counts 1.2 of the time

Where second copies are barred, hasten called off a part at any searcher silent for 2.5 part latencies, whatever the other holder was like.

Now a part is called off only for a holder that is sound and expected in less than the silence over 2.5; and the wait at admission, which also counts what sick searchers lose, may reach 1.2 of the time left instead of 0.8.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -241,7 +241,7 @@
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
-	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < admitShare*left
+	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < 1.2*left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
@@ -997,7 +997,7 @@
 	if !m.lat.heard || !late && !stuck || m.extra.level < 1 || p.live > 1 {
 		return // also when all holders are slow alike: a second copy only adds to the jam
 	}
-	if i := m.pick(p, 1); i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
+	if i := m.pick(p, 1); i < 0 || !m.copies && m.sick(&m.srvs[i]) || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) || !m.copies && 2.5*m.weigh(&m.srvs[i]) > m.weigh(s) {
 		return
 	}
 	if m.copies {
