The expected wait follows the median part latency, which sick searchers do not move

So the estimate was wrong, not the limit. Now the median stands in, a scan counts by when most parts were in, and the limit is the time left itself; the tuned admitShare is gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,11 +18,11 @@
 const (
 	beat       = 50 * time.Millisecond  // how often waiting things are looked at again
 	gainLat    = 0.08                   // smoothing of this mixer's part latency
+	stepMid    = 1.04                   // step of its median
 	gainSrv    = 0.2                    // smoothing of one searcher's latency
 	clip       = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate = 0.6                    // share given up a second at the threshold
 	floorSpare = 0.2                    // of the way from floor to need, kept: else one lost part loses all
-	admitShare = 0.8                    // of the time left that a scan may be expected to take
 	unevenMost = 1.5                    // what is out at the busiest searcher, in what is out at one on average
 	poorMost   = 3.0                    // how much sooner a scan is throttled for its benefit a part
 	overPoor   = 2.0                    // the same for a tenant over its share
@@ -241,7 +241,7 @@
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
-	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < 1.2*left
+	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
@@ -256,28 +256,28 @@
 	return left < 1
 }
 
-// press is the smoothed part latency, or, if more, what the parts out would take at the best pace of late.
+// press is a part latency, or, if more, what the parts out would take at the best pace of late.
 // Returns tell of a jam late; this guards the first seconds of a jump. It could narrow after a quiet time.
-func (m *Mixer) press() float64 {
+func (m *Mixer) press(lat float64) float64 {
 	if m.known < knownLeast {
-		return m.lat.v
+		return lat
 	}
-	return max(m.lat.v, float64(m.out)/max(m.peak, eps))
+	return max(lat, float64(m.out)/max(m.peak, eps))
 }
 
 // wait is how long a scan would take that takes so many part latencies and is so many times as wide as others: of
-// the smoothed one, or of less where Little's law (parts out over parts passed a second) says less, lest a slow
-// spell be remembered for ever. In quiet hours the law alone would not do; where other mixers alone keep the
-// searchers busy it lets the first scans in. What is out drains once for a narrow scan: counted for each of its
-// latencies, two wide ones at once had narrow ones turned away by a half idle fleet. A wide one meets all that is
-// out at nearly every searcher, and its slowest part the worst of it: for it the wait grows with its width. It could
-// turn wide scans away by a fleet that is jammed in one place.
+// the median one, which a few sick searchers do not move, or of less where Little's law (parts out over parts passed
+// a second) says less, lest a slow spell be remembered for ever. In quiet hours the law alone would not do; where
+// other mixers alone keep the searchers busy it lets the first scans in. What is out drains once for a narrow scan:
+// counted for each of its latencies, two wide ones at once had narrow ones turned away by a half idle fleet. A wide
+// one meets all that is out at nearly every searcher, and its slowest part the worst of it: for it the wait grows
+// with its width. It could turn wide scans away by a fleet that is jammed in one place.
 func (m *Mixer) wait(ratio, wide float64) float64 {
 	if m.carried == 0 {
 		return 0
 	}
 	law := float64(m.out) / max(m.rate.v, m.carried*float64(m.ready)/2)
-	return min(max(m.lat.v*ratio, min(ratio, unevenMost*max(1, wide))*m.press()), ratio*law)
+	return min(max(m.mid*ratio, min(ratio, unevenMost*max(1, wide))*m.press(m.mid)), ratio*law)
 }
 
 // launch sends the heaviest parts up to the class's share, once for each step.
@@ -762,8 +762,8 @@
 
 func (m *Mixer) finish(si int32) {
 	sc := &m.scans.at[si]
-	if m.now > sc.at && m.lat.v > 0 {
-		m.cls[sc.class].ratio.add(min(ratioMost, (m.now-sc.at).Seconds()/m.lat.v), gainLat)
+	if m.now > sc.at && m.mid > 0 {
+		m.cls[sc.class].ratio.add(min(ratioMost, m.most(sc).Seconds()/m.mid), gainLat)
 		m.stretch(sc)
 	}
 	delete(m.byID, sc.id)
@@ -874,6 +874,13 @@
 		x = min(x, clip*m.lat.v)
 	}
 	m.lat.add(x, gainLat)
+	if m.mid == 0 {
+		m.mid = x
+	} else if x > m.mid {
+		m.mid *= stepMid
+	} else {
+		m.mid /= stepMid
+	}
 	m.average()
 }
 
@@ -934,13 +941,14 @@
 		if m.out == 0 {
 			// Without news an old slow spell fades, but not a jam between two of a mixer's few scans.
 			m.lat.v *= 1 - min(1, dt/fadeBack.Seconds())
+			m.mid *= 1 - min(1, dt/fadeBack.Seconds())
 		}
 	}
 	if m.askAt > 0 && m.now >= m.askAt {
 		m.act.Subscribe()
 		m.askAt = 0
 	}
-	press := m.press()
+	press := m.press(m.lat.v)
 	low := math.Inf(1)
 	for i := range m.cls {
 		if c := &m.cls[i]; c.thr < c.target.Seconds() {
@@ -997,14 +1005,18 @@
 	if !m.lat.heard || !late && !stuck || m.extra.level < 1 || p.live > 1 {
 		return // also when all holders are slow alike: a second copy only adds to the jam
 	}
-	if i := m.pick(p, 1); i < 0 || !m.copies && m.sick(&m.srvs[i]) || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) || !m.copies && 2.5*m.weigh(&m.srvs[i]) > m.weigh(s) {
+	i := m.pick(p, 1)
+	if i < 0 || !stuck && m.weigh(s) < hedgeWorse*m.weigh(&m.srvs[i]) {
 		return
 	}
 	if m.copies {
 		if m.dispatch(pi, 1) {
 			m.extra.level--
 		}
-	} else if stuck && len(p.tries) < m.tries && m.repeatable(&m.cls[p.class], p.tries[0].at, 4) {
+	} else if o := &m.srvs[i]; stuck && len(p.tries) < m.tries && m.repeatable(&m.cls[p.class], p.tries[0].at, 4) &&
+		!m.sick(o) && m.weigh(s) > silentLats*m.weigh(o) {
+		// Calling off gives up a place in a queue, and what runs may go on: only for a sound holder that is clearly
+		// quicker. Else a jam or a lost room, which leave none, would be fed with the same work again.
 		m.act.Cancel(p.id, len(p.tries)-1)
 		m.extra.level--
 	}
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -294,6 +294,7 @@
 
 func (w *world) Cancel(id uint64, try int) {
 	p := w.parts[id]
+	w.log = append(w.log, fmt.Sprint("cancel ", id))
 	w.after(w.set.Round, func() { w.back(p, try, 0, Undone) })
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -120,6 +120,7 @@
 	byID       map[uint64]int32 // parts and scans; scans as ^place
 	byNo       map[uint64]int32
 	lat        smooth  // part latency, seconds
+	mid        float64 // its median
 	dev        smooth  // its mean deviation
 	avg        float64 // what a searcher not heard from counts as
 	latSum     float64 // of searchers that may be sent to and were heard from
--- /dev/null
+++ b/brain/wait_test.go
@@ -0,0 +1,56 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// On sets of two holders a part was called off at the one that would have answered late and sent to one that was
+// jammed, or dead with its room: the work was done twice and the jam fed.
+func TestAPartIsCalledOffOnlyForASoundQuickHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		other float64 // latency of the other holder
+		sick  bool
+		want  int
+	}{"sound and quick": {0.04, false, 1}, "sound and slow": {0.5, false, 0}, "sick": {0.04, true, 0}} {
+		s := settings(table())
+		s.SecondCopies = false
+		w := newWorld(s, 1, 1)
+		w.m.lat, w.m.dev = smooth{v: 0.04, heard: true}, smooth{v: 0.01, heard: true}
+		for i := range w.m.srvs {
+			w.m.srvs[i].lat, w.m.srvs[i].heard = smooth{v: 0.04, heard: true}, w.now
+		}
+		w.m.srvs[0].lat.v, w.m.srvs[1].lat.v = 0.01, c.other
+		if c.sick {
+			w.m.srvs[1].box = w.now + time.Minute
+		}
+		w.srvs[0].mood = TooSlow
+		w.scan(0, 2*time.Second, []int{0}, []float64{1})
+		w.run(700 * tms)
+		if n := w.said("cancel"); n != c.want || w.broken != "" {
+			t.Errorf("%s: called off %d times: %v %s", name, n, w.log, w.broken)
+		}
+	}
+}
+
+// A quarter of the searchers takes parts and answers none. Their silence was taken for the time a part takes, and
+// scans that could do without them were turned away from idle ones.
+func TestSilentSearchersDoNotShutTheDoor(t *testing.T) {
+	set := settings(partial())
+	set.Reach = 1
+	w := newWorld(set, 3, 2)
+	w.speeds(10)
+	w.srvs[0].mood, w.srvs[4].mood = TooSlow, TooSlow // both of one cell
+	turned := 0
+	for range 60 {
+		ss, ws := even(4, 4)
+		id := w.scan(0, 2*time.Second, ss, ws)
+		if _, taken := w.m.byNo[id]; !taken {
+			turned++
+		}
+		w.run(150 * tms)
+	}
+	if turned > 0 || w.broken != "" {
+		t.Errorf("%d of 60 turned away %s", turned, w.broken)
+	}
+}
