A searcher that lately failed costs the dispatches a part is expected to take there

The replica rule's latency now counts 1/(1 - how often it lately failed) times, half forgotten after 10 s and after each pass. The test sent 7 parts there before, at most 4 now. Excluded: shrinking the first sample, more copies, half of the budget kept back (within noise or worse).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,6 +52,8 @@
 	askFirst   = 500 * time.Millisecond // till a failed list call is made again, at first
 	boxFirst   = 250 * time.Millisecond // how long a failing searcher is kept off, at first
 	boxMost    = 4 * time.Second        // and at most
+	fadeBad    = 10 * time.Second       // after so long without a failure those of a searcher count half
+	badGain    = 0.5                    // of the way to always, for each failure; of that kept, for each pass
 	fadeBack   = 5 * time.Second        // after so long without news a latency is half way to the average
 	busyLeast  = 0.4                    // no less busy than this are searchers held to be
 	idleUnit   = 250 * time.Millisecond // shortest idle time told apart from use; from there by doubling
@@ -119,7 +121,7 @@
 	s := &m.srvs[i]
 	if s.started != started || (s.state == Gone && st == Ready) {
 		// What an earlier process showed says nothing of the one that took its place.
-		s.lat, s.fails, s.box, s.full, s.down = smooth{}, 0, 0, 0, false
+		s.lat, s.fails, s.box, s.full, s.down, s.bad = smooth{}, 0, 0, 0, false, 0
 		s.cold = bucket{at: m.now, level: m.dice.roll(0)}
 	}
 	s.listed, s.state, s.weight, s.started, s.cell = true, st, weight, started, cell
@@ -421,6 +423,12 @@
 	return max(lat, 1e-3)
 }
 
+// triesAt is how many dispatches a part is expected to take at a searcher, by what it lately lost. Against those that
+// fail some parts quickly, or fall silent by turns, and count as sound between. It could crowd their neighbours.
+func (m *Mixer) triesAt(s *srv) float64 {
+	return 1 / (1 - s.bad*float64(fadeBad)/float64(m.now-s.failAt+fadeBad))
+}
+
 // stuck guards against a searcher that takes parts and answers none.
 func (m *Mixer) stuck(s *srv) bool { return s.parts > 0 && m.silent(m.now-s.since) }
 
@@ -463,7 +471,7 @@
 		if m.joins(s, fair) {
 			out--
 		}
-		cost := m.weigh(s) * out
+		cost := m.weigh(s) * m.triesAt(s) * out
 		if rank < bestRank || (rank == bestRank && cost < bestCost) {
 			best, bestRank, bestCost = i, rank, cost
 		}
@@ -857,6 +865,7 @@
 			m.fast.add(x, gainLat/20)
 		}
 		s.fails, s.since, s.heard, s.box = 0, m.now, m.now, 0
+		s.bad *= badGain
 	case Fault:
 		// A quick error must not read as a fast searcher.
 		s.since, s.heard = m.now, m.now
@@ -923,6 +932,7 @@
 		return
 	}
 	s.failAt = m.now
+	s.bad += badGain * (1 - s.bad)
 	if s.fails++; s.fails > excused {
 		wait := min(boxMost, boxFirst<<min(s.fails-excused, 5))
 		s.box = m.now + time.Duration((0.75+0.5*m.dice.roll(0))*float64(wait))
--- a/brain/state.go
+++ b/brain/state.go
@@ -36,6 +36,7 @@
 	doubt   bool          // its connection last lost something
 	fails   int           // failures since the last answer
 	failAt  time.Duration
+	bad     float64       // how often it is held to fail
 	box     time.Duration // not used before this if another will do
 	full    time.Duration // not used before this at all
 	cold    bucket
--- a/brain/wait_test.go
+++ b/brain/wait_test.go
@@ -81,3 +81,16 @@
 		}
 	}
 }
+
+// A searcher that failed most parts at once was as good as its neighbours again when its keeping-off had passed: a
+// mixer that met it once in some seconds lost a part each time.
+func TestAFailingSearcherCostsMore(t *testing.T) {
+	w := settled()
+	w.srvs[0].mood, w.srvs[0].sends = Fault, nil
+	for range 20 {
+		load(w, 0, 8, time.Second, time.Second)
+	}
+	if n := len(w.srvs[0].sends); n > 4 || w.broken != "" {
+		t.Errorf("%d parts to a failing searcher in 20 scans, sound holders beside %s", n, w.broken)
+	}
+}
