Mixers that may tell each other share which idle connections are lost

A finding now goes to all as one byte when it is made; it is believed once three mixers say the same within five seconds, and not told when fresh connections lose as much (hung searchers). These do not move load.

Other deployments bar it and are unchanged.

--- a/attempt/route.go
+++ b/attempt/route.go
@@ -244,6 +244,9 @@
 	}
 }
 
+// Tell is an action of the module. Mixers on sockets have no way to each other but for duties: the settings bar it.
+func (o *Life) Tell([]byte) {}
+
 // sweep closes connections before the searchers do, which would cost what is being written to them.
 func (o *Life) sweep() {
 	o.timers.add(o.now+o.lim.LaneIdle/10, task{what: sweep})
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,6 +59,8 @@
 	idleUnit   = 250 * time.Millisecond // shortest idle time told apart from use; from there by doubling
 	idleGain   = 0.12                   // smoothing of the losses after such a time
 	idleLost   = 0.2                    // share lost after which connections so long idle are not used again
+	rumourFor  = 5 * time.Second        // after so long a rumour is forgotten
+	rumourMany = 3                      // mixers that must tell the same
 	idleFade   = 30 * time.Second       // over which that is forgotten
 	strangeTop = 0.8                    // losses among those not heard from, at most
 	coreSure   = 0.5                    // of one core's pace is held to be there in any searcher
@@ -70,7 +72,7 @@
 func New(s Settings, act Actions, now time.Duration) *Mixer {
 	m := &Mixer{act: act, now: now, dice: newDice(s.Seed, s.Me), byID: map[uint64]int32{},
 		byNo: map[uint64]int32{}, reach: s.Reach, bundle: max(1, s.PartsPerCall), tries: max(1, s.MaxTries),
-		mixers: float64(max(1, s.Mixers)), copies: s.SecondCopies, cancels: s.MayCancel, advice: s.RetryAdvice, round: s.Round,
+		mixers: float64(max(1, s.Mixers)), copies: s.SecondCopies, cancels: s.MayCancel, tells: s.MayTell, advice: s.RetryAdvice, round: s.Round,
 		retryMost: s.MaxRetryIn, askEvery: s.AskEvery, coldFor: s.ColdFor, fallSpan: s.FallSpan,
 		coldShare: s.ColdShare, fallMult: s.FallMultiple, budgeted: s.Budgeted, budFree: s.BudgetFree,
 		budShare: s.BudgetShare, budSpan: s.BudgetSpan}
@@ -370,6 +372,27 @@
 	return slices.ContainsFunc(m.idle[1:n+1], func(lost float64) bool { return lost > idleLost })
 }
 
+// Heard takes what another mixer tells: that it loses what it sends on connections idle for so long. Against all of
+// many mixers losing a scan each to find out the same. Believed once some say so within seconds, as one may be cut off
+// or take hung searchers for it; it fades as a finding of this mixer's own would. It could cost handshakes.
+func (m *Mixer) Heard(from int, news []byte) {
+	for _, n := range news {
+		if n == 0 || int(n) >= len(m.idle) {
+			continue
+		}
+		r := &m.rumours[n]
+		if m.now-r.at > rumourFor {
+			r.tellers = 0
+		}
+		if r.tellers == 0 || r.from != from {
+			r.tellers++
+		}
+		if r.from, r.at = from, m.now; r.tellers >= rumourMany {
+			m.idle[n] = max(m.idle[n], idleLost+idleGain)
+		}
+	}
+}
+
 // fair is how many parts of a scan may ride in one call before the call weighs like another.
 func (m *Mixer) fair(sc *scan) int {
 	n := 0
@@ -835,8 +858,12 @@
 	}
 	spared := t.off && out == Undone // for no fault of the searcher
 	lost := out == TooSlow || out == Undone && !spared || out == Cut
-	if t.idle > 0 && (lost || out == Pass) {
-		m.idle[t.idle] += idleGain * (float64(b2i(lost)) - m.idle[t.idle])
+	if lost || out == Pass {
+		was := m.idle[t.idle]
+		m.idle[t.idle] += idleGain * (float64(b2i(lost)) - was)
+		if lim := idleLost + 2*m.idle[0]; m.tells && t.idle > 0 && was <= lim && m.idle[t.idle] > lim {
+			m.act.Tell([]byte{byte(t.idle)})
+		}
 	}
 	if lost {
 		s.doubt = true
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -280,6 +280,7 @@
 func (s *still) Throttle(uint64, time.Duration)      {}
 func (s *still) Abandon(uint64)                      {}
 func (s *still) Renew(int)                           {}
+func (s *still) Tell([]byte)                         {}
 func (s *still) Wake(time.Duration, uint64)          {}
 func (s *still) Subscribe()                          {}
 
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -28,6 +28,7 @@
 	asked  int
 	log    []string // actions of the last step
 	peak   float64
+	news   []byte // told to other mixers
 }
 
 type due struct {
@@ -383,6 +384,13 @@
 
 func (w *world) Renew(srv int) { w.srvs[srv].fresh = w.now }
 
+func (w *world) Tell(news []byte) {
+	if !w.set.MayTell {
+		w.fail("told where that is barred")
+	}
+	w.news = append(w.news, news...)
+}
+
 func (w *world) Subscribe() { w.asked++ }
 
 // even makes n shards in a row with equal weights.
--- a/brain/state.go
+++ b/brain/state.go
@@ -99,6 +99,12 @@
 	next      step
 }
 
+// rumour is what other mixers tell of connections idle for one step of doubling.
+type rumour struct {
+	from, tellers int
+	at            time.Duration
+}
+
 // result is what a step is handed.
 type result struct {
 	part int32 // -1 when only time has passed
@@ -151,6 +157,8 @@
 
 	reach, bundle, tries              int
 	copies, advice, budgeted, cancels bool
+	tells                             bool
+	rumours                           [8]rumour
 	round, retryMost, askEvery, askAt time.Duration
 	askBack                           time.Duration
 	coldFor, fallSpan                 time.Duration
--- a/brain/types.go
+++ b/brain/types.go
@@ -67,7 +67,7 @@
 	Cells, Reach, PartsPerCall        int
 	MaxTries                          int
 	SecondCopies, RetryAdvice, AskFor bool
-	MayCancel                         bool
+	MayCancel, MayTell                bool
 	MaxRetryIn, Round, AskEvery       time.Duration
 	ColdFor, FallSpan                 time.Duration
 	ColdShare, FallMultiple           float64
@@ -87,4 +87,5 @@
 	Renew(srv int) // what is sent next goes out on a new connection
 	Wake(at time.Duration, token uint64)
 	Subscribe()
+	Tell(news []byte) // to all other mixers; only where Settings.MayTell
 }
--- a/brain/wait_test.go
+++ b/brain/wait_test.go
@@ -94,3 +94,41 @@
 		t.Errorf("%d parts to a failing searcher in 20 scans, sound holders beside %s", n, w.broken)
 	}
 }
+
+// Each of eighty mixers lost a scan's parts on dropped connections before it knew; what one has found out others
+// act on once three say so, not one that says it often, nor what is long ago.
+func TestIdleLossesOthersTellOfAreBelievedOnceThreeDo(t *testing.T) {
+	for name, c := range map[string]struct {
+		from  []int
+		every time.Duration
+		want  bool
+	}{"three": {[]int{1, 2, 3}, time.Second, true}, "one often": {[]int{1, 1, 1, 1}, time.Second, false},
+		"two": {[]int{1, 2}, time.Second, false}, "long ago": {[]int{1, 2, 3, 4}, 2 * rumourFor, false}} {
+		w := newWorld(settings(table()), 1, 1)
+		for _, from := range c.from {
+			w.run(c.every)
+			w.m.Heard(from, []byte{4, 0, 200}) // the others are of no known step
+		}
+		if got := w.m.lostIdle(5); got != c.want || w.m.lostIdle(3) {
+			t.Errorf("%s: believed %v", name, got)
+		}
+	}
+}
+
+func TestIdleLossesAreTold(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		set := settings(table())
+		set.MayTell = may
+		w := newWorld(set, 1, 2)
+		load(w, 0, 8, 50*tms, time.Second)
+		for i := range w.srvs {
+			w.srvs[i].reap = time.Second
+		}
+		for range 4 {
+			load(w, 0, 8, 3*time.Second, 3*time.Second)
+		}
+		if told := len(w.news) > 0; told != may || w.broken != "" {
+			t.Errorf("may %v: told %v %s", may, w.news, w.broken)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -106,6 +106,7 @@
 		MaxTries:     c.int("limits.attemptsCap"),
 		SecondCopies: c.bool("limits.secondCopies"), RetryAdvice: c.bool("limits.retryAfter"),
 		MayCancel: c.kv["limits.cancel"] == "true" || c.kv["limits.cancel"] == "1",
+		MayTell:   c.kv["limits.mayTell"] == "true" || c.kv["limits.mayTell"] == "1",
 		AskFor:    c.text("discovery") == "ask", MaxRetryIn: c.span("limits.maxRetryAfter"),
 		Round: c.span("granularity"), AskEvery: c.span("rules.askEvery"),
 		ColdFor: c.span("rules.cold"), FallSpan: c.span("rules.fall"), ColdShare: c.float("rules.startCapacity"),
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -266,6 +267,19 @@
 			return errNumber
 		}
 		in.m.Woke(ctx)
+	case "MEMO":
+		from, err := strconv.Atoi(string(f[2]))
+		if err != nil || from < 0 {
+			return errNumber
+		}
+		if string(f[3]) == "-" {
+			return nil
+		}
+		news, err := base64.StdEncoding.AppendDecode(nil, f[3])
+		if err != nil {
+			return errNumber
+		}
+		in.m.Heard(from, news)
 	case "ENDPOINTS":
 		mode, ok := modes[string(f[2])]
 		if !ok {
@@ -385,7 +399,13 @@
 func (in *inst) Cancel(part uint64, try int)    { in.say("CANCEL").uint(part).uint(uint64(try)).end() }
 func (in *inst) Complete(scan uint64, all bool) { in.say("SETTLE_QUERY").uint(scan).flag(all).end() }
 func (in *inst) Abandon(scan uint64)            { in.say("SURRENDER").uint(scan).end() }
-func (in *inst) Subscribe()                     { in.say("SUBSCRIBE").flag(true).end() }
+
+// Tell sends to all other instances.
+func (in *inst) Tell(news []byte) {
+	in.say("BROADCAST_TO").out.WriteString(" all " + base64.StdEncoding.EncodeToString(news) + "\n")
+}
+
+func (in *inst) Subscribe() { in.say("SUBSCRIBE").flag(true).end() }
 
 func (in *inst) Throttle(scan uint64, retryIn time.Duration) {
 	in.say("DECLINE").uint(scan).time(retryIn).end()
--- a/internal/simwire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -52,6 +52,8 @@
 		"ABANDONED mixer-4 4\n":                   "instance not provisioned",
 		"ABANDONED mixer-3\n":                     "wrong number",
 		"ABANDONED mixer-3 x\n":                   "unreadable",
+		"MEMO mixer-3 x aGk=\n":                   "unreadable",
+		"MEMO mixer-3 2 a*\n":                     "unreadable",
 		"ROUND 1\n":                               "out of place",
 		"ENDPOINTS mixer-3 diff 1 7\n":            "list not defined",
 		"DEFINE_LIST 3 2\nITEM ready 1 - 0 a b\n": "a list ended early",
@@ -71,6 +73,19 @@
 	}
 }
 
+func TestNewsBetweenInstances(t *testing.T) {
+	quiet, _, _ := talk(start + scan)
+	got, bad, err := talk(start + strings.Replace(scan, "ROUND 1005\n", "ROUND 1005\nMEMO mixer-3 2 BA==\nMEMO mixer-3 2 -\n", 1))
+	if err != nil || bad != "" || got != quiet {
+		t.Errorf("error %v %s, reply\n%s", err, bad, got)
+	}
+	h := &host{}
+	(&inst{h: h, name: "mixer-3"}).Tell([]byte{4})
+	if got := h.out.String(); got != "BROADCAST_TO mixer-3 all BA==\n" {
+		t.Errorf("told %q", got)
+	}
+}
+
 func TestAPanicBecomesDie(t *testing.T) {
 	h := &host{insts: map[string]*inst{"mixer-3": {name: "mixer-3"}}, open: true}
 	if err := h.take([]byte("TIMEOUT_FIRED mixer-3 0")); err != nil || !strings.HasPrefix(h.out.String(), "DIE mixer-3 runtime error") {
