--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,7 @@
 	hedgeDevs    = 3.0                    // mean deviations past the mean at which a part counts as late
 	hedgeWorse   = 1.2                    // times as slow as another holder: from there a late part is sent again
 	silentLats   = 2.5                    // a searcher silent for so many part latencies counts as stuck
-	lateCut      = 0.7                    // of the time from target to end, for which no early dispatch waits
+	lateCut      = 0.3                    // of the time from target to end, for which no early dispatch waits
 	lastTry      = 3.0                    // expected times; with more left the last try waits for a sound holder
 	wideShare    = 0.25                   // of the searchers; a scan of more parts might take too many down
 	waryFor      = 10 * time.Second       // after a connection broke, how long repeats are tried by one part first
