--- a/brain/admit.go
+++ b/brain/admit.go
@@ -24,7 +24,7 @@
 	if m.overShare(sc) {
 		poor *= overPoor
 	}
-	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < admitShare*left
+	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,7 +18,6 @@
 	beat         = 50 * time.Millisecond  // how often waiting things are looked at again
 	gainLat      = 0.08                   // smoothing of this mixer's part latency
 	stepMid      = 1.04                   // step of its median
-	admitShare   = 0.8                    // of the time left that a scan may be expected to take
 	gainSrv      = 0.2                    // smoothing of one searcher's latency
 	clip         = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate   = 0.6                    // share given up a second at the threshold
