--- a/brain/admit.go
+++ b/brain/admit.go
@@ -48,13 +48,14 @@
 	return max(lat, float64(m.out)/max(m.peak, eps))
 }
 
-// wait is how long a scan would take that takes so many part latencies and is so many times as wide as others: of
-// the median one, which a few sick searchers do not move, or of less where Little's law (parts out over parts passed
-// a second) says less, lest a slow spell be remembered for ever. In quiet hours the law alone would not do; where
-// other mixers alone keep the searchers busy it lets the first scans in. What is out drains once for a narrow scan:
-// counted for each of its latencies, two wide ones at once had narrow ones turned away by a half idle fleet. A wide
-// one meets all that is out at nearly every searcher, and its slowest part the worst of it: for it the wait grows
-// with its width. It could turn wide scans away by a fleet that is jammed in one place.
+// wait is how long a scan would take that takes so many part latencies and is so many times as wide as
+// others: of the median one, which a few sick searchers do not move, or of less where Little's law (parts out
+// over parts passed a second) says less, lest a slow spell be remembered for ever. In quiet hours the law
+// alone would not do; where other mixers alone keep the searchers busy it lets the first scans in. What is
+// out drains once for a narrow scan: counted for each of its latencies, two wide ones at once had narrow ones
+// turned away by a half idle fleet. A wide one meets all that is out at nearly every searcher, and its
+// slowest part the worst of it: for it the wait grows with its width. It could turn wide scans away by a
+// fleet that is jammed in one place.
 func (m *Mixer) wait(ratio, wide float64) float64 {
 	if m.carried == 0 {
 		return 0
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -3,9 +3,9 @@
 // A front makes one Mixer per instance with New, sets its clock with At before each batch of events, and
 // hands events over in the order they came: list entries, scans and their parts, returns, wakes. What is to
 // be done comes out of the Actions given to New, within the call. The interface stands in types.go, the
-// records in state.go, mechanical helpers in slab.go. What is decided is decided here, in admit.go (what is turned
-// away), pick.go (which searcher), send.go (what goes out, again or is called off), end.go (when a scan ends, and how)
-// and learn.go (what returns say).
+// records in state.go, mechanical helpers in slab.go. What is decided is decided here, in admit.go (what is
+// turned away), pick.go (which searcher), send.go (what goes out, again or is called off), end.go (when a
+// scan ends, and how) and learn.go (what returns say).
 
 import (
 	"cmp"
@@ -22,7 +22,7 @@
 	clip         = 3.0                    // one sample counts as this many times the mean at most
 	narrowRate   = 0.6                    // share given up a second at the threshold
 	floorSpare   = 0.2                    // of the way from floor to need, kept: else one lost part loses all
-	unevenMost   = 1.5                    // what is out at the busiest searcher, in what is out at one on average
+	unevenMost   = 1.5                    // what is out at the busiest searcher, in what is out at a mean one
 	poorMost     = 3.0                    // how much sooner a scan is throttled for its benefit a part
 	overPoor     = 2.0                    // the same for a tenant over its share
 	quotaBrim    = 2 * time.Second        // of its share that a tenant may ask at once
@@ -38,12 +38,12 @@
 	peakFade     = 20 * time.Second       // over which the most seen is forgotten
 	knownLeast   = 100                    // passes before that pace is trusted
 	hedgeDevs    = 3.0                    // mean deviations past the mean at which a part counts as late
-	hedgeWorse   = 1.2                    // times as slow as another holder: from there a late part is sent again
+	hedgeWorse   = 1.2                    // times as slow as another holder: then a late part is sent again
 	silentLats   = 2.5                    // a searcher silent for so many part latencies counts as stuck
 	lateCut      = 0.3                    // of the time from target to end, for which no early dispatch waits
 	lastTry      = 3.0                    // expected times; with more left the last try waits for a sound holder
 	wideShare    = 0.25                   // of the searchers; a scan of more parts might take too many down
-	waryFor      = 10 * time.Second       // after a connection broke, how long repeats are tried by one part first
+	waryFor      = 10 * time.Second       // after a connection broke, how long repeats go by one part first
 	extraShare   = 0.1                    // further dispatches allowed for each first one
 	extraBrim    = 15.0
 	earnBack     = 0.8                    // of a copy's allowance is returned when it overtakes
@@ -72,7 +72,8 @@
 func New(s Settings, act Actions, now time.Duration) *Mixer {
 	m := &Mixer{act: act, now: now, dice: newDice(s.Seed, s.Me), byID: map[uint64]int32{},
 		byNo: map[uint64]int32{}, reach: s.Reach, bundle: max(1, s.PartsPerCall), tries: max(1, s.MaxTries),
-		mixers: float64(max(1, s.Mixers)), copies: s.SecondCopies, cancels: s.MayCancel, tells: s.MayTell, advice: s.RetryAdvice, round: s.Round,
+		mixers: float64(max(1, s.Mixers)), copies: s.SecondCopies, cancels: s.MayCancel,
+		tells: s.MayTell, advice: s.RetryAdvice, round: s.Round,
 		retryMost: s.MaxRetryIn, askEvery: s.AskEvery, coldFor: s.ColdFor, fallSpan: s.FallSpan,
 		coldShare: s.ColdShare, fallMult: s.FallMultiple, budgeted: s.Budgeted, budFree: s.BudgetFree,
 		budShare: s.BudgetShare, budSpan: s.BudgetSpan}
--- a/brain/end.go
+++ b/brain/end.go
@@ -187,9 +187,9 @@
 	}
 }
 
-// impatience learns how long clients wait, from those that left and those that still got an answer. An answer from
-// what is in, where that will do, goes out before most would leave: each that leaves is work for nothing, and comes
-// again. It could cut scans short whose clients would have waited.
+// impatience learns how long clients wait, from those that left and those that still got an answer. An answer
+// from what is in, where that will do, goes out before most would leave: each that leaves is work for
+// nothing, and comes again. It could cut scans short whose clients would have waited.
 func (m *Mixer) impatience(c *class, waited time.Duration, left bool) {
 	c.leaving.add(float64(b2i(left)), gainLat)
 	if !left {
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -131,9 +131,10 @@
 	m.average()
 }
 
-// Probed tells that a searcher was probed so long ago, by any mixer, and whether it answered. A load report or a
-// failure moves nothing: a probe is answered beside the queue, and fails where the way to one mixer is at fault. An
-// answer ends the wait at one that could not be reached, which else waits for a part to be risked there.
+// Probed tells that a searcher was probed so long ago, by any mixer, and whether it answered. A load report
+// or a failure moves nothing: a probe is answered beside the queue, and fails where the way to one mixer is
+// at fault. An answer ends the wait at one that could not be reached, which else waits for a part to be
+// risked there.
 func (m *Mixer) Probed(i int, ago time.Duration, answered bool) {
 	if s := &m.srvs[i]; answered && s.down && m.now-ago > s.failAt {
 		s.back, s.down, s.box = m.now, false, 0
--- a/brain/pick.go
+++ b/brain/pick.go
@@ -53,9 +53,10 @@
 	return slices.ContainsFunc(m.idle[1:n+1], func(lost float64) bool { return lost > idleLost })
 }
 
-// Heard takes what another mixer tells: that it loses what it sends on connections idle for so long. Against all of
-// many mixers losing a scan each to find out the same. Believed once some say so within seconds, as one may be cut off
-// or take hung searchers for it; it fades as a finding of this mixer's own would. It could cost handshakes.
+// Heard takes what another mixer tells: that it loses what it sends on connections idle for so long. Against
+// all of many mixers losing a scan each to find out the same. Believed once some say so within seconds, as
+// one may be cut off or take hung searchers for it; it fades as a finding of this mixer's own would. It could
+// cost handshakes.
 func (m *Mixer) Heard(from int, news []byte) {
 	for _, n := range news {
 		if n == 0 || int(n) >= len(m.idle) {
@@ -127,8 +128,9 @@
 	return max(lat, 1e-3)
 }
 
-// triesAt is how many dispatches a part is expected to take at a searcher, by what it lately lost. Against those that
-// fail some parts quickly, or fall silent by turns, and count as sound between. It could crowd their neighbours.
+// triesAt is how many dispatches a part is expected to take at a searcher, by what it lately lost. Against
+// those that fail some parts quickly, or fall silent by turns, and count as sound between. It could crowd
+// their neighbours.
 func (m *Mixer) triesAt(s *srv) float64 {
 	return 1 / (1 - s.bad*float64(fadeBad)/float64(m.now-s.failAt+fadeBad))
 }
--- a/brain/send.go
+++ b/brain/send.go
@@ -204,8 +204,8 @@
 		if m.dispatch(pi, 1) {
 			m.extra.level--
 		}
-	} else if o := &m.srvs[i]; stuck && m.cancels && len(p.tries) < m.tries && m.repeatable(&m.cls[p.class], p.tries[0].at, 4) &&
-		!m.sick(o) && m.weigh(s) > silentLats*m.weigh(o) {
+	} else if o := &m.srvs[i]; stuck && m.cancels && len(p.tries) < m.tries &&
+		m.repeatable(&m.cls[p.class], p.tries[0].at, 4) && !m.sick(o) && m.weigh(s) > silentLats*m.weigh(o) {
 		// Calling off gives up a place in a queue, and what runs may go on: only for a sound holder that is clearly
 		// quicker. Else a jam or a lost room, which leave none, would be fed with the same work again.
 		m.act.Cancel(p.id, len(p.tries)-1)
@@ -213,9 +213,9 @@
 	}
 }
 
-// recall calls off what is still out of a part that needs it no more: it frees places in the queues of searchers
-// that heed it. Not where copies are barred: there a mixer on sockets waits for proof of each. Nor at a searcher that
-// has fallen silent: how that ends tells whether it can be reached.
+// recall calls off what is still out of a part that needs it no more: it frees places in the queues of
+// searchers that heed it. Not where copies are barred: there a mixer on sockets waits for proof of each. Nor
+// at a searcher that has fallen silent: how that ends tells whether it can be reached.
 func (m *Mixer) recall(p *part) {
 	if !m.copies || !m.cancels {
 		return
