Clients of scans that met full searchers are told to stay away for long, and are told at once

What each mixer did was small: giveUp advised 0.5 to 1.5 part latencies, about 0.1 s, and a part whose holders were all full waited 0.1 to 0.4 s and asked them again. Summed over the fleet it kept the searchers full.

--- a/brain/end.go
+++ b/brain/end.go
@@ -145,8 +145,8 @@
 		var in time.Duration
 		if m.advice {
 			in = min(m.retryMost, time.Duration((0.5+m.dice.roll(sc.id))*max(m.lat.v, 0.1)*float64(time.Second)))
-			if sc.kills {
-				in = m.retryMost
+			if sc.kills || sc.full {
+				in = time.Duration((0.5 + 0.5*m.dice.roll(sc.id)) * float64(m.retryMost))
 			}
 		}
 		m.act.Throttle(sc.id, in)
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -56,6 +56,7 @@
 	parts        []uint64
 	whole, ended bool
 	answered     int
+	advice       time.Duration // when its client was told to come again
 }
 
 type wtry struct {
@@ -362,6 +363,7 @@
 
 func (w *world) Throttle(id uint64, in time.Duration) {
 	sc := w.end(id, "throttle")
+	sc.advice = in
 	for _, p := range sc.parts {
 		for _, k := range w.parts[p].tries {
 			ran := k.out || k.res != NoRoom && k.res != NoRoute && k.res != Stale
--- a/brain/learn.go
+++ b/brain/learn.go
@@ -96,6 +96,12 @@
 		}
 	case NoRoom:
 		s.since = m.now
+		if s.fullFrom <= s.heard {
+			s.fullFrom = m.now
+		}
+		if !p.over {
+			m.scans.at[p.scan].full = true
+		}
 		// Parts wait a little for room: asking every holder at once would use up their tries and lose the scan.
 		s.full = m.now + time.Duration((0.5+m.dice.roll(p.id))*float64(boxFirst))
 		// A full searcher reads as one that just misses the target, no more, or nothing would go again.
--- a/brain/pick.go
+++ b/brain/pick.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// noRoom tells that every holder of a part's shard has turned parts away as full for a while: what waits for one of
+// them is best asked again later. For a moment only, a part waits. It could give up a scan whose holders have just
+// got room.
+func (m *Mixer) noRoom(p *part) bool {
+	some := false
+	for i := range m.holders(p.shard) {
+		if s := &m.srvs[i]; m.now >= s.full || m.now-s.fullFrom < boxFirst {
+			return false
+		}
+		some = true
+	}
+	return some
+}
+
 // idleFor says in which step of doubling a searcher's connection has lain idle; 0 is a new one or one in use.
 func (m *Mixer) idleFor(s *srv) int {
 	if s.used == LongAgo {
--- a/brain/send.go
+++ b/brain/send.go
@@ -158,7 +158,7 @@
 		return
 	}
 	_, ran := p.exposed()
-	if sc.kills || len(p.tries) >= m.tries || ran && m.cls[p.class].effect == NonReplayable {
+	if m.noRoom(p) || sc.kills || len(p.tries) >= m.tries || ran && m.cls[p.class].effect == NonReplayable {
 		p.lost = true
 		sc.gone += p.weight
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -22,30 +22,31 @@
 }
 
 type srv struct {
-	state   Standing
-	cell    int
-	weight  float64
-	started time.Duration
-	back    time.Duration // when it answered again after it could not be reached
-	down    bool          // could not be reached since it last answered
-	lat     smooth
-	heard   time.Duration // last answer
-	since   time.Duration // last sign of life, or when the first of the present parts went out
-	out     int           // calls out
-	parts   int           // parts out
-	used    time.Duration // its connection's last use by this mixer
-	idle    int           // how long it had lain idle before this use, in steps of doubling
-	doubt   bool          // its connection last lost something
-	fails   int           // failures since the last answer
-	failAt  time.Duration
-	bad     float64       // how often it is held to fail
-	box     time.Duration // not used before this if another will do
-	full    time.Duration // not used before this at all
-	cold    bucket
-	call    int32 // call that is still open in this round
-	callAt  time.Duration
-	listed  bool
-	turn    int // the last count of holders that met it
+	state    Standing
+	cell     int
+	weight   float64
+	started  time.Duration
+	back     time.Duration // when it answered again after it could not be reached
+	down     bool          // could not be reached since it last answered
+	lat      smooth
+	heard    time.Duration // last answer
+	since    time.Duration // last sign of life, or when the first of the present parts went out
+	out      int           // calls out
+	parts    int           // parts out
+	used     time.Duration // its connection's last use by this mixer
+	idle     int           // how long it had lain idle before this use, in steps of doubling
+	doubt    bool          // its connection last lost something
+	fails    int           // failures since the last answer
+	failAt   time.Duration
+	bad      float64       // how often it is held to fail
+	box      time.Duration // not used before this if another will do
+	full     time.Duration // not used before this at all
+	fullFrom time.Duration // its first refusal as full since it last answered
+	cold     bucket
+	call     int32 // call that is still open in this round
+	callAt   time.Duration
+	listed   bool
+	turn     int // the last count of holders that met it
 }
 
 type call struct {
@@ -97,6 +98,7 @@
 	pass      int
 	cuts      int  // parts whose connection broke
 	kills     bool // and nothing else came of it
+	full      bool // a part met a full searcher
 	alone     bool // one part is out first
 	next      step
 }
--- a/brain/wait_test.go
+++ b/brain/wait_test.go
@@ -155,3 +155,21 @@
 		t.Errorf("%d of the last 30 left without the answer in hand %s", late, w.broken)
 	}
 }
+
+// Three hundred mixers told clients of scans that met full searchers to come again in a tenth of a second: they
+// came four times each, and the searchers stayed full. What no holder had room for was tried on for as long.
+func TestFullSearchersKeepClientsAway(t *testing.T) {
+	w := newWorld(settings(table()), 1, 1)
+	load(w, 0, 4, 50*tms, time.Second)
+	w.run(time.Second)
+	w.moods(NoRoom)
+	for k := range 4 {
+		id := w.scan(0, 2*time.Second, []int{0}, []float64{1})
+		w.run(100 * tms)
+		soon := w.scans[id].ended
+		w.run(600 * tms)
+		if sc := w.scans[id]; k > 0 && !soon || sc.advice < w.set.MaxRetryIn/2 {
+			t.Errorf("scan %d ended soon %v, to come again in %v", k, soon, sc.advice)
+		}
+	}
+}
