--- a/brain/pick.go
+++ b/brain/pick.go
@@ -38,9 +38,8 @@
 	}
 }
 
-// noRoom tells that every holder of a part's shard has turned parts away as full for a while: what waits for one of
-// them is best asked again later. For a moment only, a part waits. It could give up a scan whose holders have just
-// got room.
+// noRoom tells that every holder of a part's shard has turned parts away as full for a while: what waits for
+// one is best asked again later. For a moment a part waits. It could give up as they have just got room.
 func (m *Mixer) noRoom(p *part) bool {
 	some := false
 	for i := range m.holders(p.shard) {
