--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,7 @@
 	boxMost      = 4 * time.Second        // and at most
 	fadeBad      = 10 * time.Second       // after so long without a failure those of a searcher count half
 	badGain      = 0.5                    // of the way to always, for each failure; of that kept, for each pass
-	leaveSome    = 0.1                   // share of clients that leave, from which their patience counts
+	leaveSome    = 0.1                    // share of clients that leave, from which their patience counts
 	leaveGain    = 0.05                   // its smoothing
 	patienceStep = 0.05                   // by which its quarter moves
 	fadeBack     = 5 * time.Second        // after so long without news a latency is half way to the average
--- a/brain/end.go
+++ b/brain/end.go
@@ -191,10 +191,11 @@
 // from what is in, where that will do, goes out before most would leave: each that leaves is work for
 // nothing, and comes again. It could cut scans short whose clients would have waited.
 func (m *Mixer) impatience(c *class, waited time.Duration, left bool) {
-	c.leaving += leaveGain * (float64(b2i(left)) - c.leaving) // one that leaves is no sign
 	if !left {
+		c.leaving *= 1 - leaveGain/2 // answered in time they stay, and would else be kept waiting again
 		return
 	}
+	c.leaving += leaveGain * (1 - c.leaving) // one that leaves is no sign
 	if c.patience == 0 {
 		c.patience = waited
 	}
