--- a/brain/end.go
+++ b/brain/end.go
@@ -72,11 +72,11 @@
 
 // cutAt is when a scan stops waiting for more than its floor.
 func (m *Mixer) cutAt(sc *scan) time.Duration {
-	at := sc.target
-	if c := &m.cls[sc.class]; c.leaving > leaveSome {
+	c, at := &m.cls[sc.class], sc.target
+	if c.leaving > leaveSome {
 		at = min(at, sc.at+c.patience)
 	}
-	if c := &m.cls[sc.class]; sc.step == 0 && c.second > 0 {
+	if sc.step == 0 && c.second > 0 {
 		at -= time.Duration(2 * m.lat.v * float64(time.Second))
 	}
 	return at
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -73,6 +73,9 @@
 	return false
 }
 
+// on is a switch that may be left out.
+func (c *conf) on(path string) bool { return c.kv[path] == "true" || c.kv[path] == "1" }
+
 // nth is one value of a joined list.
 func (c *conf) nth(path string, i int) float64 {
 	vs := strings.Split(c.text(path), ",")
@@ -105,8 +108,8 @@
 		Cells: c.int("domain.places"), Reach: c.int("domain.width"), PartsPerCall: c.int("domain.bundleMax"),
 		MaxTries:     c.int("limits.attemptsCap"),
 		SecondCopies: c.bool("limits.secondCopies"), RetryAdvice: c.bool("limits.retryAfter"),
-		MayCancel: c.kv["limits.cancel"] == "true" || c.kv["limits.cancel"] == "1",
-		MayTell:   c.kv["limits.mayTell"] == "true" || c.kv["limits.mayTell"] == "1",
+		MayCancel: c.on("limits.cancel"),
+		MayTell:   c.on("limits.mayTell"),
 		AskFor:    c.text("discovery") == "ask", MaxRetryIn: c.span("limits.maxRetryAfter"),
 		Round: c.span("granularity"), AskEvery: c.span("rules.askEvery"),
 		ColdFor: c.span("rules.cold"), FallSpan: c.span("rules.fall"), ColdShare: c.float("rules.startCapacity"),
