--- a/brain/admit.go
+++ b/brain/admit.go
@@ -21,10 +21,10 @@
 	left := (sc.target - m.now).Seconds()
 	// What brings little benefit for its parts is turned away first: by size, not by name.
 	poor := min(poorMost, max(1, m.benefit.v/m.size.v*c.size.v/c.benefit))
-	if m.overShare(sc) {
-		poor *= overPoor
-	}
-	return m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < left
+	poor *= 1 + (overPoor-1)*float64(b2i(m.overShare(sc)))
+	share := m.letIn(sc) // what the fleet as one has no room for is turned away alike by all mixers
+	return (share >= 1 || m.dice.roll(sc.id) < share) &&
+		m.wait(max(1, c.ratio.v), c.size.v/max(m.size.v, eps))*poor < left
 }
 
 // overShare tells whether a tenant asks more than its share of this mixer's scans. Against one that floods
--- a/brain/state.go
+++ b/brain/state.go
@@ -172,6 +172,19 @@
 	budSpan                           time.Duration
 	quota                             []float64
 	tenants                           []bucket
+	let                               []float64 // see Let; empty where no fleet says anything
+}
+
+// Let tells how much of each kind of scan the fleet as one has room for: shares by table type, and in each by tenant,
+// first of those with none. Nothing, or shares of 1, change nothing.
+func (m *Mixer) Let(shares []float64) { m.let = shares }
+
+// letIn looks up what Let told.
+func (m *Mixer) letIn(sc *scan) float64 {
+	if i := int(sc.class)*(len(m.quota)+1) + int(sc.tenant) + 1; i < len(m.let) && int(sc.tenant) < len(m.quota) {
+		return m.let[i]
+	}
+	return 1
 }
 
 // unknown is a searcher of which nothing is known.
--- a/brain/wait_test.go
+++ b/brain/wait_test.go
@@ -190,3 +190,40 @@
 		t.Errorf("cut %v before its target", sc.target-w.m.cutAt(sc))
 	}
 }
+
+// What the fleet as one has no room for is turned away, by its share and kind alone; where nothing is told, or for a
+// tenant not known, nothing changes, and no chance is drawn: decisions stay as without it.
+func TestWhatTheFleetLetsIn(t *testing.T) {
+	taken := func(let []float64, tenant int) (n int) {
+		set := settings(table(), table())
+		set.Quotas = []float64{1000, 1000}
+		w := newWorld(set, 1, 2)
+		w.m.Let(let)
+		for range 200 {
+			if id := w.scanOf(1, tenant, time.Second, []int{0}, []float64{1}, false); !w.scans[id].ended {
+				n++
+				w.m.Left(id)
+			}
+		}
+		return n
+	}
+	all := taken(nil, 0)
+	if all == 0 {
+		t.Fatal("nothing is taken at all")
+	}
+	if n := taken([]float64{0, 0, 0, 1, 1, 1}, 0); n != all {
+		t.Errorf("%d taken where another class is shed, %d else", n, all)
+	}
+	if n := taken([]float64{1, 1, 1, 1, 0, 1}, 0); n != 0 {
+		t.Errorf("%d taken of a kind with no room", n)
+	}
+	if n := taken([]float64{1, 1, 1, 1, 0.5, 1}, 0); n < all/3 || n > all*2/3 {
+		t.Errorf("%d of %d taken where half has room", n, all)
+	}
+	if n := taken([]float64{1, 1, 1, 0, 1, 1}, -1); n != 0 {
+		t.Errorf("%d taken of those without a tenant", n)
+	}
+	if n := taken([]float64{0, 0, 0, 0, 0, 0}, 7); n != all {
+		t.Errorf("%d of %d taken of a tenant not known", n, all)
+	}
+}
--- /dev/null
+++ b/fleet/overload/shed.go
@@ -0,0 +1,121 @@
+package overload
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Bin is a kind of demand that is shed alike wherever in the fleet it arrives: a class, within its tenants' shares or
+// beyond them.
+type Bin struct {
+	Worth  float64 // of a part, in benefit
+	Within bool    // of its tenant's share
+}
+
+// Divide says which share of each bin is to be let in where only so much work can be done, the same for whoever knows the
+// same. What lies within the tenants' shares comes before all that lies beyond, the worthiest work first; one bin is
+// let in in part. A tenant within its share is so never shed while another is served beyond its own.
+func Divide(bins []Bin, asked []float64, room float64) []float64 {
+	order := make([]int, len(bins))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := bins[a], bins[b]
+		if x.Within != y.Within {
+			return map[bool]int{true: -1, false: 1}[x.Within]
+		}
+		return cmp.Compare(y.Worth, x.Worth)
+	})
+	let := make([]float64, len(bins))
+	for _, i := range order {
+		want := 0.0
+		if i < len(asked) {
+			want = max(0, asked[i])
+		}
+		switch {
+		case want <= room:
+			let[i] = 1
+		case room > 0:
+			let[i] = room / want
+		}
+		room = max(0, room-want)
+	}
+	return let
+}
+
+// Room follows how much work the fleet can do: by what it was seen to do while pressed, opened again step by step while
+// it is not. In calm there is no bound.
+type Room struct {
+	room float64 // infinite in calm
+	now  time.Duration
+}
+
+const (
+	cutBack  = 0.3  // a second, of what is let in over what is done, while pressed
+	openUp   = 0.08 // a second, while not
+	trickle  = 0.05 // of what is asked for, let in in an outage to see whether it is over
+	pressed  = 1.0
+	atEase   = 0.8
+	ampleFor = 1.3 // so many times what is asked for is no bound any more
+)
+
+// NewRoom begins without a bound.
+func NewRoom(now time.Duration) *Room { return &Room{room: math.Inf(1), now: now} }
+
+// See takes the fleet's sum and mood, and gives the work that may be let in a second.
+func (r *Room) See(now time.Duration, mood Mood, sum Report) float64 {
+	dt := min(1, max(0, (now-r.now).Seconds()))
+	r.now = now
+	asked := 0.0
+	for _, x := range sum.Bins {
+		asked += x
+	}
+	least := trickle * asked
+	switch {
+	case mood == Calm:
+		r.room = math.Inf(1)
+	case mood == Outage:
+		r.room = max(least, sum.Carried)
+	case sum.Pressure > pressed:
+		from := min(r.room, asked)
+		r.room = max(least, from-cutBack*dt*max(0, from-0.9*sum.Carried))
+	case sum.Pressure < atEase:
+		r.room = min(r.room, asked) * (1 + openUp*dt)
+		if asked == 0 || r.room > ampleFor*asked {
+			r.room = math.Inf(1)
+		}
+	}
+	return r.room
+}
+
+// Returns spreads those that are turned away over the time to come: told one after the other, they come back at no more
+// than this instance's part of the room foreseen. Instances need nothing of each other but a phase drawn from a seed.
+type Returns struct {
+	next  time.Duration
+	phase float64
+}
+
+// NewReturns takes a phase of 0 to 1.
+func NewReturns(phase float64) *Returns { return &Returns{phase: phase} }
+
+// In is when the next client is to come again: no sooner than least, no later than most, at so many a second of this
+// instance's. False where all times up to most are given away: then there is no time to come back that would keep the
+// promise, and the client is best told the latest.
+func (r *Returns) In(now, least, most time.Duration, rate float64) (in time.Duration, ok bool) {
+	gap := most
+	if rate > 0 {
+		gap = min(most, time.Duration(float64(time.Second)/rate))
+	}
+	if r.next < now+least {
+		r.next = now + least + time.Duration(r.phase*float64(gap))
+	}
+	if r.next > now+most {
+		return most, false
+	}
+	in = r.next - now
+	r.next += gap
+	return in, true
+}
