An in-memory fleet: views, shared state, budgets and the real module on one simulated clock

fleet/fleetsim runs N mixers' deciding pieces with searchers, clients and a scripted network, deterministic by seed; every event is followed by checks of views, budgets, counts, bounds and scans. Words now echo the last one heard, which proves how old they are at most: what lay waiting before a sleeper counts for nothing (found while writing the fleet: a word's time of coming proves nothing).

--- /dev/null
+++ b/fleet/fleetsim/mixer.go
@@ -0,0 +1,270 @@
+package fleetsim
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"peathollow/brain"
+	"peathollow/fleet/overload"
+	"peathollow/fleet/share"
+	"peathollow/fleet/view"
+	"peathollow/lab/reader"
+)
+
+// mixer is the real module of one life of a node, with what it has in hand.
+type mixer struct {
+	n     *Node
+	life  int
+	m     *brain.Mixer
+	ids   uint64
+	scans map[uint64]*scan
+	parts map[uint64]*part
+	saw   overload.Report // since the last report
+	took  float64         // seconds of scans that ended, and how many
+	ends  float64
+	since time.Duration
+	own   overload.Report // the last report
+	room  float64
+}
+
+type scan struct {
+	id    uint64
+	class int
+	at    time.Duration
+	done  func(ok bool, in time.Duration)
+	parts []uint64
+}
+
+type part struct {
+	scan  *scan
+	shard int
+	tries []*try
+}
+
+type try struct {
+	srv   int
+	at    time.Duration
+	id    uint64 // at the reader
+	out   bool
+	until time.Duration
+}
+
+func newMixer(n *Node) *mixer {
+	l := n.w.load
+	m := &mixer{n: n, life: n.life, scans: map[uint64]*scan{}, parts: map[uint64]*part{}, since: n.w.now, room: math.Inf(1)}
+	set := brain.Settings{Seed: n.w.set.Seed*1000 + n.Inc, Me: n.i, Mixers: n.w.set.Mixers, Cells: l.set.Readers, Reach: 2,
+		PartsPerCall: 1, MaxTries: 3, SecondCopies: true, RetryAdvice: true, MaxRetryIn: 5 * time.Second, MayCancel: true,
+		Round: 5 * time.Millisecond, AskEvery: 10 * time.Second, ColdFor: 5 * time.Second, FallSpan: time.Second,
+		ColdShare: 0.5, FallMultiple: 3}
+	for _, b := range worth {
+		set.Types = append(set.Types, brain.TableType{Target: target, Timeout: timeout, Benefit: b, Need: 1, Floor: 1})
+	}
+	for _, t := range l.set.Tenants {
+		set.Quotas = append(set.Quotas, t.Share)
+	}
+	m.m = brain.New(set, m, 0)
+	m.m.ListBegin(brain.Whole)
+	for i := range l.readers {
+		m.m.ListEntry(i, brain.Ready, 1, brain.LongAgo, i)
+	}
+	m.m.ListEnd(brain.Whole)
+	return m
+}
+
+// in has the module take an event, now or when its process wakes; never after its life.
+func (m *mixer) in(f func()) {
+	if m.n.up && m.n.life == m.life {
+		m.n.do(func() {
+			m.m.At(m.now())
+			f()
+		})
+	}
+}
+
+func (m *mixer) now() time.Duration { return m.n.w.now - m.n.born }
+
+func (m *mixer) scan(c *client, again bool, done func(bool, time.Duration)) {
+	m.m.At(m.now())
+	m.ids++
+	s := &scan{id: m.ids, class: c.class, at: m.n.w.now, done: done}
+	m.scans[s.id] = s
+	if again {
+		m.saw.Again++
+	} else {
+		m.saw.First++
+	}
+	bins := len(worth) * (len(m.n.w.load.set.Tenants) + 1)
+	if m.saw.Bins == nil {
+		m.saw.Bins = make([]float64, bins)
+	}
+	m.saw.Bins[c.class*bins/len(worth)+c.tenant+1] += partsOf
+	m.m.Scan(s.id, s.id, c.class, c.tenant, timeout, 0, partsOf, again)
+	for range partsOf {
+		if m.scans[s.id] == nil {
+			return
+		}
+		m.ids++
+		p := &part{scan: s, shard: m.n.w.load.dice.IntN(m.n.w.load.set.Readers)}
+		m.parts[m.ids], s.parts = p, append(s.parts, m.ids)
+		m.m.Part(m.ids, s.id, p.shard, 1.0/partsOf)
+	}
+	m.n.w.after(timeout+50*time.Millisecond, func() {
+		if m.scans[s.id] == s && m.n.up && m.n.life == m.life && m.n.w.now >= m.n.asleep+timeout {
+			m.n.w.broke("scans: %s gives no final answer in time", m.n.Name)
+		}
+	})
+}
+
+// end is a final answer: the one there is.
+func (m *mixer) end(id uint64, ok bool, in time.Duration) {
+	s := m.scans[id]
+	if s == nil {
+		m.n.w.broke("scans: %s answers a scan twice", m.n.Name)
+		return
+	}
+	delete(m.scans, id)
+	took := m.n.w.now - s.at
+	if ok {
+		m.saw.Done++
+		m.took, m.ends = m.took+took.Seconds(), m.ends+1
+	} else if took > target/2 { // admitted, and not in time
+		m.took, m.ends = m.took+2*target.Seconds(), m.ends+1
+	}
+	m.n.w.after(0, func() { s.done(ok && took <= target, in) })
+}
+
+// Dispatch and the others below are the module's actions.
+func (m *mixer) Dispatch(id uint64, srv int, until time.Duration) {
+	p := m.parts[id]
+	if m.scans[p.scan.id] != p.scan {
+		m.n.w.broke("scans: %s sends a part after its scan's final answer", m.n.Name)
+	}
+	t := &try{srv: srv, at: m.n.w.now, out: true, until: until + m.n.born}
+	no := len(p.tries)
+	p.tries = append(p.tries, t)
+	l := m.n.w.load
+	m.n.w.after(trip/2, func() {
+		var ok bool
+		t.id, ok = l.arrive(srv, t.until, func(how reader.End) {
+			m.back(id, no, map[reader.End]brain.Outcome{reader.Done: brain.Pass, reader.Refused: brain.NoRoom, reader.Late: brain.TooSlow,
+				reader.Lost: brain.Cut}[how])
+		})
+		if !ok {
+			m.n.w.after(trip/2, func() { m.back(id, no, brain.NoRoute) })
+		}
+	})
+	m.n.w.after(max(0, t.until-m.n.w.now), func() { m.back(id, no, brain.TooSlow) })
+}
+
+// back is the end of a dispatch; the first that is told counts.
+func (m *mixer) back(id uint64, no int, out brain.Outcome) {
+	m.in(func() {
+		p := m.parts[id]
+		if p == nil || !p.tries[no].out {
+			return
+		}
+		t := p.tries[no]
+		t.out = false
+		if out == brain.Pass {
+			m.saw.Carried++
+		}
+		m.m.Returned(id, no, out, m.n.w.now-t.at)
+	})
+}
+
+func (m *mixer) Cancel(id uint64, no int) {
+	t := m.parts[id].tries[no]
+	m.n.w.after(trip/2, func() {
+		if l := m.n.w.load; l.out[t.id] != nil && l.readers[t.srv].Drop(m.n.w.now, t.id) {
+			delete(l.out, t.id)
+			l.look(t.srv)
+			m.n.w.after(trip/2, func() { m.back(id, no, brain.Undone) })
+		}
+	})
+}
+
+func (m *mixer) Complete(id uint64, _ bool) { m.end(id, true, 0) }
+
+func (m *mixer) Throttle(id uint64, in time.Duration) {
+	m.saw.Turned++
+	if m.n.planted(plantSilence) && id%10 == 0 {
+		return
+	}
+	m.end(id, false, in)
+	if m.n.planted(plantAnswer) {
+		m.end(id, false, in)
+	}
+	if m.n.planted(plantAfter) {
+		for p, x := range m.parts {
+			if x.scan.id == id {
+				m.Dispatch(p, 0, m.now())
+				return
+			}
+		}
+	}
+}
+
+func (m *mixer) Abandon(id uint64) { m.saw.Failed++; m.end(id, false, 0) }
+func (m *mixer) Renew(int)         {}
+func (m *mixer) Subscribe()        {}
+func (m *mixer) Tell([]byte)       {}
+func (m *mixer) Wake(at time.Duration, token uint64) {
+	m.n.w.after(max(0, at+m.n.born-m.n.w.now), func() { m.in(func() { m.m.Woke(token) }) })
+}
+
+// die is the end of its life: what readers still do for it is for nobody.
+func (m *mixer) die() { m.scans = map[uint64]*scan{} }
+
+// report tells what was seen since the last, as rates.
+func (n *Node) report() {
+	m := n.mix
+	span := (n.w.now - m.since).Seconds()
+	if span < 0.9 {
+		return
+	}
+	r := m.saw
+	for _, x := range []*float64{&r.First, &r.Again, &r.Done, &r.Turned, &r.Failed, &r.Carried} {
+		*x /= span
+	}
+	for i := range r.Bins {
+		r.Bins[i] /= span
+	}
+	if m.ends > 0 {
+		r.Pressure = m.took / m.ends / (0.6 * target.Seconds())
+	}
+	m.own, m.saw, m.took, m.ends, m.since = r, overload.Report{}, 0, 0, n.w.now
+	if err := n.Store.Say("load", encode(r)); err != nil {
+		n.w.broke("%s can't tell its load: %v", n.Name, err)
+	}
+}
+
+// advise sums up what all tell, and hands the module what there is room for.
+func (m *mixer) advise() {
+	n := m.n
+	if !n.w.set.Shared || n.w.now-n.reported < n.w.set.Beat {
+		return
+	}
+	n.reported = n.w.now
+	if !n.View.May(view.Count) {
+		// Figures of others count for nothing: the module is on its own, as without a fleet.
+		m.m.Let(nil)
+		n.Mood = overload.Calm
+		return
+	}
+	sum := m.own
+	sum.Bins = append([]float64(nil), m.own.Bins...)
+	n.Store.Read("load", func(f share.Fact) {
+		var r overload.Report
+		if inc, ok := n.View.Proven(f.Owner); ok && inc == f.Inc && f.Age <= 2*time.Second+n.w.set.Stale && json.Unmarshal(f.Body, &r) == nil {
+			sum.Add(r)
+		}
+	})
+	now := n.w.now
+	n.Mood = n.judge.See(now, sum)
+	if m.room = n.room.See(now, n.Mood, sum); math.IsInf(m.room, 1) {
+		m.m.Let(nil)
+		return
+	}
+	m.m.Let(n.w.load.kinds.Let(sum, m.room))
+}
--- a/fleet/overload/budget_test.go
+++ b/fleet/overload/budget_test.go
@@ -182,8 +182,8 @@
 			}
 			b.set.Leap = 1000 * s
 		},
-		"more is saved than may be":          func(b *Budget, _ bool) { b.set.Burst = 3 * s },
-		"the fleet's figure is everyone's":   func(b *Budget, _ bool) { b.set.Instances = 1 },
+		"more is saved than may be":        func(b *Budget, _ bool) { b.set.Burst = 3 * s },
+		"the fleet's figure is everyone's": func(b *Budget, _ bool) { b.set.Instances = 1 },
 	} {
 		told := 0
 		for seed := uint64(0); seed < 200 && told == 0; seed++ {
--- a/fleet/overload/shed.go
+++ b/fleet/overload/shed.go
@@ -46,6 +46,51 @@
 	return let
 }
 
+// Kinds are the classes and tenants of a fleet, by which reports count their bins: by class, and in each by tenant, first
+// those of none.
+type Kinds struct {
+	Worth []float64 // of a part, by class
+	Share []float64 // of work a second that a tenant may ask for within its share, all mixers together
+}
+
+// Let divides room among all that is asked for, and gives the share of each bin to let in. What a tenant asks beyond its
+// share is told apart over the whole fleet: whom a client met does not matter.
+func (k Kinds) Let(sum Report, room float64) []float64 {
+	n := len(k.Share) + 1
+	at := func(class, tenant int) float64 {
+		if i := class*n + tenant; i < len(sum.Bins) {
+			return max(0, sum.Bins[i])
+		}
+		return 0
+	}
+	within := make([]float64, n) // of a tenant's work; none without a tenant
+	for t, share := range k.Share {
+		all := 0.0
+		for c := range k.Worth {
+			all += at(c, t+1)
+		}
+		if within[t+1] = 1; all > share {
+			within[t+1] = share / all
+		}
+	}
+	var bins []Bin
+	var asked []float64
+	for c, worth := range k.Worth {
+		for t := range n {
+			x := at(c, t)
+			bins = append(bins, Bin{worth, true}, Bin{worth, false})
+			asked = append(asked, x*within[t], x*(1-within[t]))
+		}
+	}
+	parts := Divide(bins, asked, room)
+	let := make([]float64, len(k.Worth)*n)
+	for i := range let {
+		in := within[i%n]
+		let[i] = parts[2*i]*in + parts[2*i+1]*(1-in)
+	}
+	return let
+}
+
 // Room follows how much work the fleet can do: by what it was seen to do while pressed, opened again step by step while
 // it is not. In calm there is no bound.
 type Room struct {
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -91,20 +91,36 @@
 
 // Word is what an instance tells the others, over and over.
 type Word struct {
-	From      string            `json:"from"`
-	Inc       uint64            `json:"inc"`
-	Instances int               `json:"instances"`
-	Hears     map[string]uint64 `json:"hears"` // whose words are fresh to it, and of which incarnation
-	Leaves    bool              `json:"leaves,omitempty"`
+	From      string          `json:"from"`
+	Inc       uint64          `json:"inc"`
+	No        uint64          `json:"no"` // higher in each word
+	Instances int             `json:"instances"`
+	Hears     map[string]Echo `json:"hears"` // whose words are fresh to it
+	Leaves    bool            `json:"leaves,omitempty"`
+}
+
+// Echo names the last word heard of another. It proves to that one how old this word is at most: no older than its own
+// word that is echoed. A word may have lain for long, in a network or before a process that stood still; when it
+// came says nothing.
+type Echo struct {
+	Inc uint64 `json:"i"`
+	No  uint64 `json:"n"`
 }
 
 type peer struct {
-	inc   uint64
-	at    time.Duration // when its last word came
-	void  bool          // that word counts for nothing any more
-	hears map[string]uint64
-	left  bool
-	gone  bool
+	inc, no uint64
+	at      time.Duration // when its last word came
+	proved  time.Duration // that word is no older than this
+	void    bool          // it counts for nothing any more
+	hears   int
+	left    bool
+	gone    bool
+}
+
+// sent is when a word of this instance's left.
+type sent struct {
+	no uint64
+	at time.Duration
 }
 
 // Core is one instance's view.
@@ -112,6 +128,8 @@
 	set    Settings
 	now    time.Duration
 	peers  map[string]*peer
+	no     uint64
+	sent   []sent        // words no older than Stale, since the last sleep
 	since  time.Duration // a majority has held since then; below 0 while none does
 	sleeps int
 	odd    int // words not believed
@@ -135,15 +153,15 @@
 		for _, p := range c.peers {
 			p.void = true
 		}
-		c.since, slept = -1, true
+		c.sent, c.since, slept = nil, -1, true
 	}
 	c.now = now
 	c.settle()
 	return slept
 }
 
-// Heard takes another's word; false if it is not believed: of an earlier incarnation, of a fleet of another size, or one
-// more name than there can be.
+// Heard takes another's word; false if it is not believed: an earlier one than the last, of a fleet of another size, or
+// with more names than there can be.
 func (c *Core) Heard(w Word) bool {
 	p := c.peers[w.From]
 	switch {
@@ -151,6 +169,8 @@
 		p != nil && w.Inc < p.inc, p != nil && w.Inc == p.inc && p.left:
 		c.odd++
 		return false
+	case p != nil && w.Inc == p.inc && w.No <= p.no:
+		return false // late, or again
 	case p == nil:
 		if len(c.peers) >= 2*c.set.Instances && !c.forget() {
 			c.odd++
@@ -159,11 +179,24 @@
 		p = &peer{}
 		c.peers[w.From] = p
 	}
-	*p = peer{inc: w.Inc, at: c.now, hears: maps.Clone(w.Hears), left: w.Leaves}
+	proved := p.proved
+	if p.inc != w.Inc || p.void {
+		proved = never
+	}
+	if e := w.Hears[c.set.Me]; e.Inc == c.set.Inc {
+		for _, x := range c.sent {
+			if x.no == e.No {
+				proved = max(proved, x.at)
+			}
+		}
+	}
+	*p = peer{inc: w.Inc, no: w.No, at: c.now, proved: proved, hears: len(w.Hears), left: w.Leaves}
 	c.settle()
 	return true
 }
 
+const never = time.Duration(-1 << 62)
+
 // forget makes room by the one unheard for longest; false if all are fresh.
 func (c *Core) forget() bool {
 	oldest := ""
@@ -185,11 +218,18 @@
 	}
 }
 
+// fresh: its word came lately. That much suffices to hear it, not to reckon with it.
 func (c *Core) fresh(p *peer) bool { return !p.void && !p.left && c.now-p.at <= c.set.Stale }
 
-// Fresh tells the incarnation of an instance whose word may be used now. Nothing of any other may be.
-func (c *Core) Fresh(name string) (inc uint64, ok bool) {
-	if p := c.peers[name]; p != nil && c.fresh(p) {
+// proven: its word left it lately, and it hears this one.
+func (c *Core) proven(p *peer) bool {
+	return c.fresh(p) && p.proved != never && c.now-p.proved <= c.set.Stale
+}
+
+// Proven tells the incarnation of an instance whose word is proven to be no older than Stale. What it says beside may be
+// used, and nothing of any other's.
+func (c *Core) Proven(name string) (inc uint64, ok bool) {
+	if p := c.peers[name]; p != nil && c.proven(p) {
 		return p.inc, true
 	}
 	return 0, false
@@ -210,23 +250,25 @@
 	return Suspect
 }
 
-// Live are the names of those whose word is fresh, in order.
+// Live are the names of those whose word is proven, in order.
 func (c *Core) Live() []string {
 	var names []string
 	for _, n := range slices.Sorted(maps.Keys(c.peers)) {
-		if c.fresh(c.peers[n]) {
+		if c.proven(c.peers[n]) {
 			names = append(names, n)
 		}
 	}
 	return names
 }
 
-// Word is what to tell the others now.
+// Word is what to tell the others now; each is a new one.
 func (c *Core) Word(leaves bool) Word {
-	w := Word{From: c.set.Me, Inc: c.set.Inc, Instances: c.set.Instances, Hears: map[string]uint64{}, Leaves: leaves}
+	c.no++
+	c.sent = slices.DeleteFunc(append(c.sent, sent{c.no, c.now}), func(x sent) bool { return c.now-x.at > c.set.Stale })
+	w := Word{From: c.set.Me, Inc: c.set.Inc, No: c.no, Instances: c.set.Instances, Hears: map[string]Echo{}, Leaves: leaves}
 	for n, p := range c.peers {
 		if c.fresh(p) && len(w.Hears) < c.set.Instances {
-			w.Hears[n] = p.inc
+			w.Hears[n] = Echo{p.inc, p.no}
 		}
 	}
 	return w
@@ -243,9 +285,9 @@
 			continue
 		}
 		heard++
-		// One that does not hear this one may be cut off from it one way, and one that hears no majority grants nothing
-		// itself: to count either would let two sides both believe that they are most.
-		if p.hears[c.set.Me] == c.set.Inc && c.most(len(p.hears)+1) {
+		// One that does not hear this one may be cut off from it one way, or have said so long ago; one that hears no
+		// majority grants nothing itself. To count either would let two sides both believe that they are most.
+		if c.proven(p) && c.most(p.hears+1) {
 			agree++
 		}
 	}
--- a/fleet/view/view_test.go
+++ b/fleet/view/view_test.go
@@ -18,37 +18,50 @@
 	return c
 }
 
-func word(from string, hears ...string) Word {
-	w := Word{From: from, Inc: 7, Instances: 5, Hears: map[string]uint64{}}
+// says has another say a word that hears these, "a" by the last word that it sent.
+func (c *Core) says(from string, hears ...string) bool {
+	w := Word{From: from, Inc: 7, Instances: 5, Hears: map[string]Echo{}}
+	if p := c.peers[from]; p != nil {
+		w.No = p.no
+	}
+	w.No++
 	for _, h := range hears {
-		w.Hears[h] = 7
+		w.Hears[h] = Echo{7, 1}
+		if h == c.set.Me {
+			w.Hears[h] = Echo{c.set.Inc, c.no}
+		}
 	}
-	return w
+	return c.Heard(w)
 }
 
 // Each standing, as the table of docs/fleet.md has it, and what it allows.
 func TestStandings(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		words []Word
-		after time.Duration
+		words [][]string // who says that it hears whom
+		for_  time.Duration
+		after time.Duration // without a word
 		want  Standing
 	}{
-		{"nobody", nil, s, Alone},
-		{"one other", []Word{word("b", "a")}, s, Minority},
-		{"two others, all hear each other", []Word{word("b", "a", "c"), word("c", "a", "b")}, s, Settling},
-		{"for long enough", []Word{word("b", "a", "c"), word("c", "a", "b")}, 2 * s, Majority},
-		{"too old", []Word{word("b", "a", "c"), word("c", "a", "b")}, 4 * s, Alone},
-		{"they do not hear this one", []Word{word("b", "c", "d"), word("c", "b", "d"), word("d", "b", "c")}, 2 * s, Disagreeing},
-		{"they hear only this one", []Word{word("b", "a"), word("c", "a")}, 2 * s, Disagreeing},
+		{"nobody", nil, s, 0, Alone},
+		{"one other", [][]string{{"b", "a"}}, s, 0, Minority},
+		{"two others, all hear each other", [][]string{{"b", "a", "c"}, {"c", "a", "b"}}, s, 0, Settling},
+		{"for long enough", [][]string{{"b", "a", "c"}, {"c", "a", "b"}}, 3 * s, 0, Majority},
+		{"too old", [][]string{{"b", "a", "c"}, {"c", "a", "b"}}, 3 * s, 4 * s, Alone},
+		{"they do not hear this one", [][]string{{"b", "c", "d"}, {"c", "b", "d"}, {"d", "b", "c"}}, 3 * s, 0, Disagreeing},
+		{"they hear only this one", [][]string{{"b", "a"}, {"c", "a"}}, 3 * s, 0, Disagreeing},
 	} {
 		v := five(t, "a")
-		for _, w := range c.words {
-			if !v.Heard(w) {
-				t.Errorf("%s: %s is not believed", c.name, w.From)
+		for at := time.Duration(0); at <= c.for_; at += s {
+			v.At(at)
+			v.Word(false)
+			for _, w := range c.words {
+				if !v.says(w[0], w[1:]...) {
+					t.Errorf("%s: %s is not believed", c.name, w[0])
+				}
 			}
 		}
-		for at := s; at <= c.after; at += s {
+		for at := c.for_; at <= c.for_+c.after; at += s {
 			v.At(at)
 		}
 		if got := v.Standing(); got != c.want {
@@ -60,17 +73,19 @@
 	}
 }
 
-// A sleeper distrusts its view first: whatever it held before, it grants nothing till it has heard a majority anew
-// and that has held.
+// A sleeper distrusts its view first: whatever it held before, and whatever words lay waiting for it, it grants nothing
+// till others have answered what it said since, and that has held.
 func TestASleeperTrustsNothing(t *testing.T) {
 	v := five(t, "a")
 	hear := func() {
-		v.Heard(word("b", "a", "c"))
-		v.Heard(word("c", "a", "b"))
+		v.says("b", "a", "c")
+		v.says("c", "a", "b")
+	}
+	for at := time.Duration(0); at <= 2*s; at += s {
+		v.At(at)
+		v.Word(false)
+		hear()
 	}
-	hear()
-	v.At(s)
-	v.At(2 * s)
 	if !v.May(Grant) {
 		t.Fatal("no majority before the sleep")
 	}
@@ -80,19 +95,29 @@
 	if v.Standing() != Alone || len(v.Live()) > 0 || len(v.Word(false).Hears) > 0 {
 		t.Errorf("after the sleep: %v, hears %v", v.Standing(), v.Live())
 	}
+	v.no-- // what lay waiting answers what was said before the sleep
+	hear()
+	v.no++
+	if v.Standing() != Disagreeing || len(v.Live()) > 0 {
+		t.Errorf("old words: %v, %v", v.Standing(), v.Live())
+	}
 	hear()
-	if v.Standing() != Settling {
+	if v.Standing() != Settling || len(v.Live()) != 2 {
 		t.Errorf("heard anew: %v", v.Standing())
 	}
 }
 
 func TestWordsNotBelieved(t *testing.T) {
 	v := five(t, "a")
-	v.Heard(word("b"))
-	old, other, mine, left := word("b"), word("c"), word("a"), word("d")
-	old.Inc, other.Instances, left.Leaves = 6, 4, true
+	word := func(from string, inc, no uint64) Word { return Word{From: from, Inc: inc, No: no, Instances: 5} }
+	v.Heard(word("b", 7, 2))
+	left, other, many := word("d", 7, 1), word("c", 7, 1), word("e", 7, 1)
+	left.Leaves, other.Instances, many.Hears = true, 4, map[string]Echo{}
+	for i := range 7 {
+		many.Hears[fmt.Sprint(i)] = Echo{}
+	}
 	v.Heard(left)
-	for _, w := range []Word{old, other, mine, {Instances: 5}, word("d"), word("e", "1", "2", "3", "4", "5", "6")} {
+	for _, w := range []Word{word("b", 6, 9), word("b", 7, 2), word("b", 7, 1), other, word("a", 9, 9), word("", 1, 1), word("d", 7, 2), many} {
 		if v.Heard(w) {
 			t.Errorf("believed: %+v", w)
 		}
@@ -101,16 +126,18 @@
 		t.Errorf("%v %v %v", v.State("d"), v.State("b"), v.State("c"))
 	}
 	v.Gone("b")
-	if _, ok := v.Fresh("b"); ok || v.State("b") != Failed {
+	if _, ok := v.Proven("b"); ok || v.State("b") != Failed {
 		t.Errorf("gone, and %v", v.State("b"))
 	}
-	if v.Heard(word("b")); v.State("b") != Alive {
+	if v.Heard(word("b", 7, 3)); v.State("b") != Alive {
 		t.Errorf("its own word, and %v", v.State("b"))
 	}
-	back := word("d")
-	if back.Inc = 8; !v.Heard(back) {
+	if !v.Heard(word("d", 8, 1)) {
 		t.Error("one that left is not believed when it is back")
 	}
+	if sleeps, odd := v.Counts(); sleeps != 0 || odd != 6 {
+		t.Errorf("%d sleeps, %d odd words", sleeps, odd)
+	}
 }
 
 // Two that both hold a settled majority share an instance whose word is fresh to both and that hears both: whoever is
@@ -162,7 +189,7 @@
 	v := five(t, "a")
 	for i := range 1000 {
 		v.At(time.Duration(i) * s)
-		v.Heard(word(fmt.Sprint("x", i)))
+		v.says(fmt.Sprint("x", i))
 	}
 	if len(v.peers) > 10 {
 		t.Errorf("%d peers are held", len(v.peers))
