--- a/fleet/overload/shed.go
+++ b/fleet/overload/shed.go
@@ -63,47 +63,48 @@
 		}
 		return 0
 	}
-	within := make([]float64, n) // of a tenant's work; none without a tenant
-	for t, share := range k.Share {
-		all := 0.0
-		for c := range k.Worth {
-			all += at(c, t+1)
-		}
-		if within[t+1] = 1; all > share {
-			within[t+1] = share / all
-		}
+	order := make([]int, len(k.Worth))
+	for c := range order {
+		order[c] = c
 	}
-	var bins []Bin
-	var asked []float64
-	for c, worth := range k.Worth {
-		for t := range n {
-			x := at(c, t)
-			bins = append(bins, Bin{worth, true}, Bin{worth, false})
-			asked = append(asked, x*within[t], x*(1-within[t]))
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(k.Worth[b], k.Worth[a]) })
+	bins, asked := make([]Bin, 2*n*len(order)), make([]float64, 2*n*len(order))
+	for t := range n {
+		left := 0.0 // of the tenant's share, which its own worthiest work fills first; none without a tenant
+		if t > 0 {
+			left = k.Share[t-1]
+		}
+		for _, c := range order {
+			i, x := 2*(c*n+t), at(c, t)
+			in := min(x, left)
+			left -= in
+			bins[i], bins[i+1] = Bin{k.Worth[c], true}, Bin{k.Worth[c], false}
+			asked[i], asked[i+1] = in, x-in
 		}
 	}
 	parts := Divide(bins, asked, room)
-	let := make([]float64, len(k.Worth)*n)
+	let := make([]float64, len(order)*n)
 	for i := range let {
-		in := within[i%n]
-		let[i] = parts[2*i]*in + parts[2*i+1]*(1-in)
+		if let[i] = 1; asked[2*i]+asked[2*i+1] > 0 {
+			let[i] = (parts[2*i]*asked[2*i] + parts[2*i+1]*asked[2*i+1]) / (asked[2*i] + asked[2*i+1])
+		}
 	}
 	return let
 }
 
-// Room follows how much work the fleet can do: by what it was seen to do while pressed, opened again step by step while
-// it is not. In calm there is no bound.
+// Room follows how much work the fleet can do in an overload or a storm: what it lets in shrinks towards what searchers
+// were seen to do of it, and opens step by step while they do all of it. Elsewhere there is no bound: in an outage the
+// mixers' own refusals cost nothing, and to hold back what comes after one would only make it longer.
 type Room struct {
-	room float64 // infinite in calm
+	room float64 // infinite where there is no bound
 	now  time.Duration
 }
 
 const (
-	cutBack  = 0.3  // a second, of what is let in over what is done, while pressed
-	openUp   = 0.08 // a second, while not
-	trickle  = 0.05 // of what is asked for, let in in an outage to see whether it is over
-	pressed  = 1.0
-	atEase   = 0.8
+	cutBack  = 0.5  // a second, of what is let in over what is done
+	openUp   = 0.1  // a second
+	allDone  = 0.95 // of what is let in: so much done counts as all
+	trickle  = 0.05
 	ampleFor = 1.3 // so many times what is asked for is no bound any more
 )
 
@@ -118,18 +119,14 @@
 	for _, x := range sum.Bins {
 		asked += x
 	}
-	least := trickle * asked
+	in := min(r.room, asked)
 	switch {
-	case mood == Calm:
+	case mood == Calm || mood == Outage:
 		r.room = math.Inf(1)
-	case mood == Outage:
-		r.room = max(least, sum.Carried)
-	case sum.Pressure > pressed:
-		from := min(r.room, asked)
-		r.room = max(least, from-cutBack*dt*max(0, from-0.9*sum.Carried))
-	case sum.Pressure < atEase:
-		r.room = min(r.room, asked) * (1 + openUp*dt)
-		if asked == 0 || r.room > ampleFor*asked {
+	case mood != Recovery && sum.Carried < allDone*in:
+		r.room = max(trickle*asked, in-cutBack*dt*(in-sum.Carried))
+	default:
+		if r.room *= 1 + openUp*dt; r.room > ampleFor*asked {
 			r.room = math.Inf(1)
 		}
 	}
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -89,14 +89,16 @@
 	return [...]string{"unknown", "alive", "suspect", "failed", "left", ""}[min(int(s), 5)]
 }
 
-// Word is what an instance tells the others, over and over.
+// Word is what an instance tells each of the others, over and over: to each its own, so that it stays short however many
+// there are.
 type Word struct {
-	From      string          `json:"from"`
-	Inc       uint64          `json:"inc"`
-	No        uint64          `json:"no"` // higher in each word
-	Instances int             `json:"instances"`
-	Hears     map[string]Echo `json:"hears"` // whose words are fresh to it
-	Leaves    bool            `json:"leaves,omitempty"`
+	From      string `json:"from"`
+	Inc       uint64 `json:"inc"`
+	No        uint64 `json:"no"` // higher in each round of words
+	Instances int    `json:"instances"`
+	Hears     int    `json:"hears"` // of so many others the words are fresh to it
+	Echo      Echo   `json:"echo"`  // the last word heard of the one it is told to; nothing if that is not fresh
+	Leaves    bool   `json:"leaves,omitempty"`
 }
 
 // Echo names the last word heard of another. It proves to that one how old this word is at most: no older than its own
@@ -160,12 +162,12 @@
 	return slept
 }
 
-// Heard takes another's word; false if it is not believed: an earlier one than the last, of a fleet of another size, or
-// with more names than there can be.
+// Heard takes another's word; false if it is not believed: an earlier one than the last, of a fleet of another size, or of
+// one that hears more than there can be.
 func (c *Core) Heard(w Word) bool {
 	p := c.peers[w.From]
 	switch {
-	case w.From == c.set.Me, w.From == "", w.Instances != c.set.Instances, len(w.Hears) >= max(2, c.set.Instances)+1,
+	case w.From == c.set.Me, w.From == "", w.Instances != c.set.Instances, w.Hears < 0, w.Hears >= c.set.Instances,
 		p != nil && w.Inc < p.inc, p != nil && w.Inc == p.inc && p.left:
 		c.odd++
 		return false
@@ -183,14 +185,14 @@
 	if p.inc != w.Inc || p.void {
 		proved = never
 	}
-	if e := w.Hears[c.set.Me]; e.Inc == c.set.Inc {
+	if e := w.Echo; e.Inc == c.set.Inc {
 		for _, x := range c.sent {
 			if x.no == e.No {
 				proved = max(proved, x.at)
 			}
 		}
 	}
-	*p = peer{inc: w.Inc, no: w.No, at: c.now, proved: proved, hears: len(w.Hears), left: w.Leaves}
+	*p = peer{inc: w.Inc, no: w.No, at: c.now, proved: proved, hears: w.Hears, left: w.Leaves}
 	c.settle()
 	return true
 }
@@ -261,17 +263,24 @@
 	return names
 }
 
-// Word is what to tell the others now; each is a new one.
-func (c *Core) Word(leaves bool) Word {
+// Words begins a round of words, and gives what to tell each of those named.
+func (c *Core) Words(leaves bool, names []string) []Word {
 	c.no++
 	c.sent = slices.DeleteFunc(append(c.sent, sent{c.no, c.now}), func(x sent) bool { return c.now-x.at > c.set.Stale })
-	w := Word{From: c.set.Me, Inc: c.set.Inc, No: c.no, Instances: c.set.Instances, Hears: map[string]Echo{}, Leaves: leaves}
-	for n, p := range c.peers {
-		if c.fresh(p) && len(w.Hears) < c.set.Instances {
-			w.Hears[n] = Echo{p.inc, p.no}
+	w := Word{From: c.set.Me, Inc: c.set.Inc, No: c.no, Instances: c.set.Instances, Leaves: leaves}
+	for _, p := range c.peers {
+		if c.fresh(p) && w.Hears < c.set.Instances-1 {
+			w.Hears++
+		}
+	}
+	words := make([]Word, len(names))
+	for i, n := range names {
+		words[i] = w
+		if p := c.peers[n]; p != nil && c.fresh(p) {
+			words[i].Echo = Echo{p.inc, p.no}
 		}
 	}
-	return w
+	return words
 }
 
 // most tells that so many are more than half of all there can be.
