--- a/fleet/fleetsim/check.go
+++ b/fleet/fleetsim/check.go
@@ -59,7 +59,7 @@
 // check holds after every event of a mixer.
 func (n *Node) check() {
 	w := n.w
-	apart := n.lost >= 0 && w.now-n.lost > w.set.Stale+w.set.Beat+trip+w.net.late
+	apart := n.lost >= 0 && w.now-n.lost > w.stale+w.set.Beat+trip+w.net.late
 	if apart && (n.View.May(view.Grant) || n.View.May(view.Raise)) {
 		w.broke("views: %s stands with a majority (%v), and has heard none for %v", n.Name, n.View.Standing(), w.now-n.lost)
 	}
--- a/fleet/overload/shed.go
+++ b/fleet/overload/shed.go
@@ -107,8 +107,11 @@
 }
 
 const (
-	cutBack  = 0.5  // a second, of what is let in over what is done
-	openUp   = 0.1  // a second
+	cutBack  = 0.5 // a second, of what is let in over what is done
+	openUp   = 0.1 // a second
+	openWide = 0.5 // a second, while scans are quick
+	pressed  = 0.6 // of the time that a scan may take
+	atEase   = 0.4
 	allDone  = 0.95 // of what is let in: so much done counts as all
 	trickle  = 0.05
 	ampleFor = 1.3 // so many times what is asked for is no bound any more
@@ -129,10 +132,16 @@
 	switch {
 	case mood == Calm || mood == Outage:
 		r.room = math.Inf(1)
-	case mood != Recovery && sum.Carried < allDone*in:
+	case mood != Recovery && sum.Carried < allDone*in && sum.Pressure > pressed:
 		r.room = max(trickle*asked, in-cutBack*dt*(in-sum.Carried))
 	default:
-		if r.room *= 1 + openUp*dt; r.room > ampleFor*asked {
+		// By chance alone less is done than let in, now and then. Where scans are quick all the same nothing is short of
+		// room: what was shed would only come again, and keep a storm alive that is of our own making.
+		open := openUp
+		if sum.Pressure < atEase {
+			open = openWide
+		}
+		if r.room *= 1 + open*dt; r.room > ampleFor*asked {
 			r.room = math.Inf(1)
 		}
 	}
