The program handles overload with other mixers as one, where [fleet] on says so

mixer/ally.go drives package fleet beside the duties, on the same group (mixer/crowd.go); the life of scans tells a Witness what comes and how it ends, and hands brain.Let on. Off without a settings file: no listener, no goroutine, one nil check an event.

--- a/attempt/admit.go
+++ b/attempt/admit.go
@@ -17,10 +17,17 @@
 		s.Reply(Answer{Kind: Unfit, Fault: err})
 		return
 	}
+	tenant, ok := o.set.Tenants[s.Query.Tenant]
+	if !ok {
+		tenant = -1
+	}
+	if s.class = ty; o.sees != nil {
+		o.sees.Came(ty, tenant, len(s.Query.Parts), s.Query.Retry)
+	}
 	// So many are held as the settings allow; what comes beyond never reaches the module.
 	if o.book.open >= o.lim.Open {
 		o.book.tally.Full++
-		s.Reply(Answer{Kind: Throttled})
+		o.refuse(s)
 		return
 	}
 	left := s.Query.Wait - ago
@@ -28,18 +35,14 @@
 		left = min(left, o.stopAt-o.now)
 	}
 	if left <= 0 {
-		s.Reply(Answer{Kind: Throttled})
+		o.refuse(s)
 		return
 	}
-	s.class = ty
-	tenant, ok := o.set.Tenants[s.Query.Tenant]
-	if !ok {
-		tenant = -1
-	}
 	var work time.Duration
 	for _, p := range s.Query.Parts {
 		work += p.Hint
 	}
+	s.at = o.now
 	o.book.addScan(s)
 	o.m.Scan(s.id, s.no, ty, tenant, left, work, len(s.Query.Parts), s.Query.Retry)
 	for _, p := range s.Query.Parts {
@@ -47,6 +50,14 @@
 	}
 }
 
+// refuse answers a scan that never gets to the module.
+func (o *Life) refuse(s *Scan) {
+	if o.sees != nil {
+		o.sees.Ended(Throttled, s.class, 0)
+	}
+	s.Reply(Answer{Kind: Throttled})
+}
+
 // fits checks what only the settings can tell.
 func (o *Life) fits(s *Scan) (int, error) {
 	ty, ok := o.set.Types[s.Query.Class]
--- a/attempt/book.go
+++ b/attempt/book.go
@@ -42,6 +42,7 @@
 	id, no uint64
 	Query  proto.Query
 	class  int
+	at     time.Duration // when it was taken
 	step   int
 	parts  []*part      // of the present step
 	from   []int        // shards that were in at the first step's end
@@ -138,6 +139,9 @@
 	o.book.open--
 	o.closeStep(s)
 	o.book.tally.Scans[a.Kind]++
+	if o.sees != nil {
+		o.sees.Ended(a.Kind, s.class, o.now-s.at)
+	}
 	s.Reply(a)
 }
 
@@ -169,6 +173,9 @@
 	p.live--
 	t.srv.live--
 	o.book.tally.Parts[end]++
+	if o.sees != nil && end == brain.Pass {
+		o.sees.Carried()
+	}
 	if l := t.lane; l != nil {
 		l.drop(p, no, end == brain.Undone || end == brain.TooSlow, o.now)
 	}
--- a/attempt/explore/free.go
+++ b/attempt/explore/free.go
@@ -71,6 +71,7 @@
 func (d *free) ListEnd(brain.ListMode)          {}
 func (d *free) Forget(i int)                    { d.readers[i] = brain.Gone }
 func (d *free) Probed(int, time.Duration, bool) {}
+func (d *free) Let([]float64)                   {}
 
 func (d *free) Scan(id, no uint64, _, _ int, left, _ time.Duration, parts int, _ bool) {
 	s := &fscan{id: id, no: no, nr: len(d.w.scans) - 1, end: d.now + left, expect: parts}
--- a/attempt/life.go
+++ b/attempt/life.go
@@ -74,6 +74,15 @@
 	Woke(token uint64)
 	Forget(i int)
 	Probed(i int, ago time.Duration, answered bool)
+	Let(shares []float64)
+}
+
+// Witness is told what comes and how it ends, for those who share that with other mixers. It is called within a batch, and
+// must not block.
+type Witness interface {
+	Came(class, tenant, parts int, again bool) // tenant below 0: none that is known
+	Ended(kind Kind, class int, took time.Duration)
+	Carried() // a searcher did a part
 }
 
 // Life is all that is in hand, and the module that decides on it.
@@ -96,6 +105,7 @@
 	out    []sending // what the module sent in this batch
 	leave  func()    // flush, made into a value once: a batch allocates nothing for it
 	stopAt time.Duration
+	sees   Witness // nil where nobody wants to know
 
 	version int64 // of the list held
 }
@@ -117,6 +127,12 @@
 	return o
 }
 
+// Watch has somebody told what comes and how it ends, from now on.
+func (o *Life) Watch(w Witness) { o.sees = w }
+
+// Let hands the module what the fleet as one has room for, see brain.Let.
+func (o *Life) Let(shares []float64) { o.m.Let(shares) }
+
 // Begin starts what is done again and again, once the list last known was handed over.
 func (o *Life) Begin() {
 	o.sweep()
--- a/fleet/fleetsim/mixer.go
+++ b/fleet/fleetsim/mixer.go
@@ -11,16 +11,15 @@
 
 // mixer is the real module of one life of a node, with what it has in hand.
 type mixer struct {
-	n     *Node
-	life  int
-	m     *brain.Mixer
-	ids   uint64
-	scans map[uint64]*scan
-	parts map[uint64]*part
-	saw   overload.Report // since the last report
-	took  float64         // seconds of scans that ended, and how many
-	ends  float64
-	room  float64
+	n            *Node
+	life         int
+	m            *brain.Mixer
+	ids          uint64
+	scans        map[uint64]*scan
+	parts        map[uint64]*part
+	saw          overload.Report // since the last report
+	strain, ends float64         // summed up, and over how many scans
+	room         float64
 }
 
 type scan struct {
@@ -124,9 +123,9 @@
 	took := m.n.w.now - s.at
 	if ok {
 		m.saw.Done++
-		m.took, m.ends = m.took+took.Seconds(), m.ends+1
-	} else if took > target/2 { // admitted, and not in time
-		m.took, m.ends = m.took+2*target.Seconds(), m.ends+1
+	}
+	if x, told := overload.Strain(took, target, ok); told {
+		m.strain, m.ends = m.strain+x, m.ends+1
 	}
 	m.n.w.after(0, func() { s.done(ok && took <= target, in) })
 }
@@ -229,9 +228,9 @@
 		r.Scans[i] /= span
 	}
 	if m.ends > 0 {
-		r.Pressure = m.took / m.ends / (0.6 * target.Seconds())
+		r.Pressure = m.strain / m.ends
 	}
-	m.saw, m.took, m.ends = overload.Report{}, 0, 0
+	m.saw, m.strain, m.ends = overload.Report{}, 0, 0
 	if err := n.Report(r); err != nil {
 		n.w.broke("%s can't tell its load: %v", n.Name, err)
 	}
--- a/internal/config/ours.go
+++ b/internal/config/ours.go
@@ -18,6 +18,7 @@
 	Log     Log
 	Members Members
 	Duties  Duties
+	Fleet   Fleet
 }
 
 // Log is how much is written.
@@ -46,6 +47,13 @@
 	Show      string
 }
 
+// Fleet is what instances handle as one.
+type Fleet struct {
+	On        bool
+	Instances int
+	Beat      time.Duration
+}
+
 // Setting is one key of the file, declared once: the declaration makes the check, the message and the help.
 type Setting struct {
 	Section, Key, Default, Allowed, Help string
@@ -81,6 +89,11 @@
 		func(o *Ours) *bool { return &o.Duties.Load }),
 	freeText("duties", "show", "", "path of a socket at which `duties show` asks; empty for none",
 		func(o *Ours) *string { return &o.Duties.Show }),
+	flag("fleet", "on", "no", "handle overload with other instances as one", func(o *Ours) *bool { return &o.Fleet.On }),
+	whole("fleet", "instances", "3", "how many instances run at the same time at most; the same number for all",
+		func(o *Ours) *int { return &o.Fleet.Instances }, 1, 300),
+	span("fleet", "beat", "250ms", "between words to all other instances; what was not heard for six counts for nothing",
+		func(o *Ours) *time.Duration { return &o.Fleet.Beat }, 20*time.Millisecond, 10*time.Second),
 }
 
 func declare[T any](section, key, def, allowed, help string, at func(*Ours) *T, read func(string) (T, bool)) Setting {
@@ -223,7 +236,11 @@
 	if d.Lease == 0 {
 		d.Lease = max(leaseLeast, d.Interval/2)
 	}
-	switch {
+	switch f := &o.Fleet; {
+	case f.On && f.Instances > 1 && o.Members.Bind == "":
+		return fmt.Errorf("%s: [members] bind: a fleet of %d instances needs it; allowed is an address and port", name, f.Instances)
+	case f.On && f.Instances > 1 && o.Members.Keys == "":
+		return fmt.Errorf("%s: [members] keys: a fleet of %d instances needs it; allowed is the path of a key file", name, f.Instances)
 	case !d.On:
 		return nil
 	case o.Members.Bind == "" && d.Instances > 1:
--- /dev/null
+++ b/mixer/ally.go
@@ -0,0 +1,185 @@
+package mixer
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peathollow/attempt"
+	"peathollow/brain"
+	"peathollow/fleet"
+	"peathollow/fleet/overload"
+	"peathollow/fleet/view"
+)
+
+// ally handles overload with the other mixers as one: package fleet decides, the group carries, the module is handed what
+// there is room for. It stands behind a lock of its own, held for microseconds.
+type ally struct {
+	log   *zap.Logger
+	o     *owner
+	send  func(to string, b []byte)
+	types []brain.TableType
+	beat  time.Duration
+	start time.Time
+
+	mu     sync.Mutex
+	mind   *fleet.Mind
+	kinds  overload.Kinds
+	others []string
+	saw    overload.Report // counts since the last report, not rates
+	ends   float64         // strains summed up in saw's pressure
+	stands view.Standing   // as last logged
+	mood   overload.Mood
+}
+
+func newAlly(c *Config, log *zap.Logger, o *owner, inc uint64, send func(string, []byte)) (*ally, error) {
+	set := &c.Settings.Brain
+	a := &ally{log: log.Named("fleet"), o: o, send: send, types: set.Types, beat: c.Ours.Fleet.Beat, start: time.Now()}
+	for _, t := range set.Types {
+		a.kinds.Benefit = append(a.kinds.Benefit, t.Benefit)
+	}
+	a.kinds.Quota = set.Quotas
+	a.forget()
+	var err error
+	a.mind, err = fleet.New(fleet.Settings{Me: c.Name, Inc: inc, Instances: c.Ours.Fleet.Instances, Beat: a.beat, Kinds: a.kinds}, 0)
+	if err != nil {
+		return nil, err
+	}
+	o.Watch(a)
+	return a, nil
+}
+
+func (a *ally) now() time.Duration { return time.Since(a.start) }
+
+func (a *ally) forget() {
+	a.ends, a.saw = 0, overload.Report{Scans: make([]float64, a.kinds.Len()), Bins: make([]float64, a.kinds.Len())}
+}
+
+// Came, Ended and Carried come from the life of scans, within its batches.
+func (a *ally) Came(class, tenant, parts int, again bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if again {
+		a.saw.Again++
+	} else {
+		a.saw.First++
+	}
+	bin := a.kinds.Bin(class, tenant)
+	a.saw.Scans[bin]++
+	a.saw.Bins[bin] += float64(parts)
+}
+
+func (a *ally) Ended(kind attempt.Kind, class int, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch kind {
+	case attempt.Completed:
+		a.saw.Done++
+	case attempt.Throttled:
+		a.saw.Turned++
+	default:
+		a.saw.Failed++
+	}
+	if x, ok := overload.Strain(took, a.types[class].Target, kind == attempt.Completed); ok {
+		a.saw.Pressure += x
+		a.ends++
+	}
+}
+
+func (a *ally) Carried() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.saw.Carried++
+}
+
+// View and Message come from the group. Who it says is gone is not told anything any more; that one lives is told by its
+// own word alone.
+func (a *ally) View(others map[string]uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, name := range a.others {
+		if _, ok := others[name]; !ok {
+			a.mind.View.Gone(name)
+		}
+	}
+	a.others = slices.Sorted(maps.Keys(others))
+}
+
+func (a *ally) Message(b []byte) {
+	msg, err := fleet.Read(b)
+	if err == nil {
+		a.mu.Lock()
+		a.mind.At(a.now())
+		err = a.mind.Heard(msg)
+		a.mu.Unlock()
+	}
+	if err != nil && !errors.Is(err, fleet.ErrWord) {
+		a.log.Warn("message not believed", zap.Error(err))
+	}
+}
+
+// run speaks and advises once a beat, until the context ends.
+func (a *ally) run(ctx context.Context) {
+	tick := time.NewTicker(a.beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		a.speak(false)
+		a.advise()
+	}
+}
+
+func (a *ally) speak(leaves bool) {
+	a.mu.Lock()
+	a.mind.At(a.now())
+	if span, ok := a.mind.Due(); ok {
+		r := a.saw
+		for _, x := range []*float64{&r.First, &r.Again, &r.Done, &r.Turned, &r.Failed, &r.Carried} {
+			*x /= span.Seconds()
+		}
+		for i := range r.Bins {
+			r.Scans[i] /= span.Seconds()
+			r.Bins[i] /= span.Seconds()
+		}
+		r.Pressure /= max(a.ends, 1)
+		a.forget()
+		if err := a.mind.Report(r); err != nil {
+			a.log.Error("load not told", zap.Error(err))
+		}
+	}
+	to := a.others
+	msgs := a.mind.Speak(leaves, to)
+	a.mu.Unlock()
+	for i := range msgs {
+		a.send(to[i], msgs[i].Append(nil))
+	}
+}
+
+// advise hands the module what there is room for. It may miss one: the next follows in a beat.
+func (a *ally) advise() {
+	a.mu.Lock()
+	let, mood, room := a.mind.Advice()
+	stands, wasMood, wasStanding := a.mind.View.Standing(), a.mood, a.stands
+	a.mood, a.stands = mood, stands
+	a.mu.Unlock()
+	a.o.try(func() { a.o.Let(let) })
+	if mood != wasMood || stands != wasStanding {
+		field := zap.Skip()
+		if !math.IsInf(room, 1) {
+			field = zap.Float64("room", room)
+		}
+		a.log.Info("fleet", zap.Stringer("stands", stands), zap.Stringer("mood", mood), field)
+	}
+}
+
+func (a *ally) leave() { a.speak(true) }
--- a/mixer/duties.go
+++ b/mixer/duties.go
@@ -18,7 +18,6 @@
 	"peathollow/duty"
 	"peathollow/internal/discovery"
 	"peathollow/internal/link"
-	"peathollow/internal/member"
 	"peathollow/internal/proto"
 )
 
@@ -41,7 +40,7 @@
 	log   *zap.Logger
 	o     *owner
 	watch *discovery.Watcher
-	group *member.Group
+	say   func(to string, b []byte)
 	load  bool
 	start time.Time
 	kick  chan struct{}
@@ -51,10 +50,10 @@
 	acts []func() // to be done once the lock is free
 }
 
-func newMinder(c *Config, lim *Limits, log *zap.Logger, o *owner, w *discovery.Watcher) (*minder, error) {
+func newMinder(c *Config, lim *Limits, log *zap.Logger, o *owner, w *discovery.Watcher, inc uint64,
+	say func(to string, b []byte)) (*minder, error) {
 	d := &c.Ours.Duties
-	inc := uint64(time.Now().UnixNano()) // higher at each start, as clocks go
-	m := &minder{lim: lim, log: log.Named("duties"), o: o, watch: w, load: d.Load, start: time.Now(),
+	m := &minder{lim: lim, log: log.Named("duties"), o: o, watch: w, say: say, load: d.Load, start: time.Now(),
 		kick: make(chan struct{}, 1)}
 	var err error
 	m.core, err = duty.New(duty.Settings{Me: c.Name, Inc: inc, Instances: d.Instances, Shares: lim.Shares, Lease: d.Lease,
@@ -66,16 +65,6 @@
 		return nil, fmt.Errorf("duties: %w", err)
 	}
 	m.core.Targets(auditDuty, []duty.Target{{Name: listTarget}})
-	if d.Instances > 1 {
-		g, err := member.Join(member.Config{Name: c.Name, Inc: inc, Bind: c.Ours.Members.Bind,
-			Seeds: c.Ours.Members.Seeds, Keys: c.Ours.Members.Keys}, lim.Members, m, log.Named("members"))
-		if err != nil {
-			return nil, err
-		}
-		m.mu.Lock() // the others may have spoken already
-		m.group = g
-		m.mu.Unlock()
-	}
 	return m, nil
 }
 
@@ -128,11 +117,8 @@
 }
 
 func (m *minder) Send(to string, msg duty.Message) {
-	if m.group == nil {
-		return
-	}
 	b := msg.Append(nil)
-	m.acts = append(m.acts, func() { m.group.Send(to, b) })
+	m.acts = append(m.acts, func() { m.say(to, b) })
 }
 
 func (m *minder) Learned(target string, r duty.Result, who string) {
@@ -161,7 +147,6 @@
 // View and Message come from the group.
 func (m *minder) View(others map[string]uint64) {
 	m.event(func(c *duty.Core) { c.Members(others) })
-	m.log.Info("view", zap.Int("others", len(others)))
 }
 
 func (m *minder) Message(b []byte) {
@@ -268,11 +253,6 @@
 	for _, f := range acts {
 		f()
 	}
-	if m.group != nil {
-		if err := m.group.Leave(); err != nil {
-			m.log.Warn("members: left without a word", zap.Error(err))
-		}
-	}
 }
 
 // shown is what `duties show` prints.
--- a/mixer/duties_test.go
+++ b/mixer/duties_test.go
@@ -207,7 +207,7 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	if m := made(t, f, nil); m.cfg.Ours.Duties.On || m.minder.Load() != nil || m.cfg.Ours.Duties != config.Defaults().Duties {
+	if m := made(t, f, nil); m.cfg.Ours.Duties.On || m.crowd.Load() != nil || m.cfg.Ours.Fleet.On || m.cfg.Ours.Duties != config.Defaults().Duties {
 		t.Errorf("%+v", m.cfg.Ours)
 	}
 }
--- a/mixer/mixer.go
+++ b/mixer/mixer.go
@@ -38,9 +38,9 @@
 	log      *zap.Logger
 	watch    *discovery.Watcher
 	ready    atomic.Bool
-	minder   atomic.Pointer[minder] // nil where no duties are shared
-	stopping atomic.Bool            // /ready says so, all else goes on
-	leaving  atomic.Bool            // clients are told to go
+	crowd    atomic.Pointer[crowd] // nil where nothing is wanted of other mixers
+	stopping atomic.Bool           // /ready says so, all else goes on
+	leaving  atomic.Bool           // clients are told to go
 }
 
 // New makes a mixer; nothing is opened before Run.
@@ -83,14 +83,12 @@
 			o.post(func() { once.Do(func() { close(first) }) })
 		}
 	}
-	if m.cfg.Ours.Duties.On {
-		unshow, err := m.share(o)
-		if err != nil {
-			closeLinks()
-			return err
-		}
-		defer unshow()
+	unshow, err := m.share(o)
+	if err != nil {
+		closeLinks()
+		return err
 	}
+	defer unshow()
 	o.List(brain.Remembered, m.cfg.Known)
 	o.Begin()
 
@@ -98,8 +96,8 @@
 	var all sync.WaitGroup
 	all.Go(func() { o.run(done) })
 	all.Go(func() { m.watch.Run(links, told) })
-	if d := m.minder.Load(); d != nil {
-		all.Go(func() { d.run(links) })
+	if c := m.crowd.Load(); c != nil {
+		all.Go(func() { c.run(links) })
 	}
 	defer all.Wait()
 	defer close(done)
@@ -122,16 +120,18 @@
 	return m.finish(srv, o)
 }
 
-// share begins to share duties with other instances.
+// share begins to do with other instances what the settings want done with them.
 func (m *Mixer) share(o *owner) (unshow func(), err error) {
-	d, err := newMinder(&m.cfg, &m.lim, m.log, o, m.watch)
-	if err != nil {
-		return nil, err
+	c, err := m.gather(o)
+	if c == nil {
+		return func() {}, err
 	}
-	o.targets = d.targets
-	m.minder.Store(d)
-	if path := m.cfg.Ours.Duties.Show; path != "" {
-		return d.show(path, m.cfg.Name)
+	m.crowd.Store(c)
+	if d := c.minder; d != nil {
+		o.targets = d.targets
+		if path := m.cfg.Ours.Duties.Show; path != "" {
+			return d.show(path, m.cfg.Name)
+		}
 	}
 	return func() {}, nil
 }
@@ -179,8 +179,8 @@
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
-		if d := m.minder.Load(); d != nil {
-			d.leave() // at once: others take the duties over while scans in hand end
+		if c := m.crowd.Load(); c != nil {
+			c.leave()
 		}
 	}()
 	defer func() { <-left }()
--- a/mixer/reload.go
+++ b/mixer/reload.go
@@ -32,9 +32,11 @@
 		m.log.Warn("changed keys that take effect only at a start", zap.Strings("keys", keys))
 	}
 	m.watch.Move(c.Discovery)
-	if d := m.minder.Load(); d != nil && d.group != nil {
-		if err := d.group.Rotate(); err != nil {
-			m.log.Error("keys not read again, the old ones stay in force", zap.Error(err))
+	if c := m.crowd.Load(); c != nil {
+		if g := c.joined(); g != nil {
+			if err := g.Rotate(); err != nil {
+				m.log.Error("keys not read again, the old ones stay in force", zap.Error(err))
+			}
 		}
 	}
 	m.log.Info("configuration read again", zap.String("discovery", c.Discovery))
