--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -102,18 +102,24 @@
 	return g, nil
 }
 
-// join looks for others while none is known. Seeds may be dead, this one's own address, or all there will be.
+// join looks for others: all seeds while nobody is known, then one at a time of those not there. Seeds may be dead, this
+// one's own address, or all there will be. Against two sides that were cut off for so long that each holds the other for
+// dead: with some known on either side, nobody would ask there again.
 func (g *Group) join() {
 	wait := time.NewTimer(0)
 	defer wait.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-g.closed:
 			return
 		case <-wait.C:
 		}
-		if g.list.NumMembers() < 2 && len(g.cfg.Seeds) > 0 {
-			n, err := g.list.Join(g.cfg.Seeds)
+		seeds := g.missing()
+		if g.list.NumMembers() > 1 && len(seeds) > 1 {
+			seeds = seeds[turn%len(seeds):][:1]
+		}
+		if len(seeds) > 0 {
+			n, err := g.list.Join(seeds)
 			if err != nil {
 				g.log.Debug("seeds not reached", zap.Int("reached", n), zap.Error(err))
 			}
@@ -122,6 +128,21 @@
 	}
 }
 
+// missing are the seeds at whose addresses nobody is known to live.
+func (g *Group) missing() []string {
+	there := map[string]bool{}
+	for _, n := range g.list.Members() {
+		there[n.Address()] = true
+	}
+	var seeds []string
+	for _, s := range g.cfg.Seeds {
+		if !there[s] {
+			seeds = append(seeds, s)
+		}
+	}
+	return seeds
+}
+
 // Send hands a message over for one peer, or for all others where no name is given. It never waits: what a peer does
 // not take in time is dropped, oldest first, as lost messages are what package duty is made for.
 func (g *Group) Send(to string, b []byte) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -140,6 +140,24 @@
 }
 
 // Who has another key hears nothing and is not heard; keys can be exchanged step by step while all go on talking.
+// A seed that is not there yet is asked again though others are known: it is told of no seeds itself, and comes in all the
+// same. Against two sides that a long cut has made strangers, which never asked there again.
+func TestAMissingSeedIsAskedAgain(t *testing.T) {
+	keys := keyFile(t, key(0))
+	binds := []string{free(t), free(t), free(t)}
+	a, ears0, _ := join(t, "a", 1, binds[0], keys, binds...)
+	defer a.Leave()
+	b, _, _ := join(t, "b", 1, binds[1], keys, binds...)
+	defer b.Leave()
+	ears0.until(t, "b")
+	c, _, _ := join(t, "c", 1, binds[2], keys)
+	defer c.Leave()
+	ears0.until(t, "b", "c")
+	if left := a.missing(); len(left) > 0 {
+		t.Errorf("missing: %v", left)
+	}
+}
+
 func TestKeys(t *testing.T) {
 	ka, kb, at := keyFile(t, key(0)), keyFile(t, key(0)), []string{free(t), free(t), free(t)}
 	a, ea, _ := join(t, "a", 1, at[0], ka)
