--- a/cmd/peathollow/check.go
+++ b/cmd/peathollow/check.go
@@ -32,7 +32,8 @@
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(out, "%s: good; duties %s\n", path, map[bool]string{true: "on", false: "off"}[o.Duties.On])
+				on := map[bool]string{true: "on", false: "off"}
+				fmt.Fprintf(out, "%s: good; duties %s, fleet %s\n", path, on[o.Duties.On], on[o.Fleet.On])
 			} else if env("ROUTER_CONFIG") == "" {
 				return fmt.Errorf("nothing to check: name a settings file, or set ROUTER_CONFIG")
 			}
