--- a/fleet/fleetsim/load.go
+++ b/fleet/fleetsim/load.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"peathollow/brain"
 	"peathollow/fleet/overload"
 	"peathollow/lab/reader"
 )
@@ -17,6 +20,16 @@
 	Obey    float64 // share of clients that come again when they are told to; the others come at once
 	Retries int     // a client comes again, at most
 	Uneven  bool    // half of the clients meet the first mixer
+	Cold    Cold    // how searchers start; the zero value: at their full pace
+}
+
+// Cold is how a searcher starts, and what pushes it over.
+type Cold struct {
+	For      time.Duration // till it is warm
+	Share    float64       // of its pace that it begins with
+	Multiple float64       // of what it can do then, that it stands
+	Span     time.Duration // for so long
+	Unknown  bool          // a planted fault: mixers are not told any of this
 }
 
 // Tenant asks for scans; what lies within its share is to be served first.
@@ -31,6 +44,7 @@
 	partsOf = 2
 	target  = time.Second
 	timeout = 2 * time.Second
+	restart = 5 * time.Second        // of a searcher
 	hurry   = 200 * time.Millisecond // till a client that does not obey comes again
 )
 
@@ -49,15 +63,24 @@
 	dice    *rand.Rand
 	kinds   overload.Kinds
 	got     map[string]*Got
-	lost    int // parts that came back as refused by a reader
+	colds   []cold
+	worst   float64 // the most that a cold searcher was sent in a span, in what pushes it over
+}
+
+// cold is what a searcher was sent since it started.
+type cold struct {
+	from time.Duration // its start; long ago for one that never started anew
+	at   []time.Duration
 }
 
 func newLoad(w *World) *load {
 	set := w.set.Load
 	l := &load{w: w, set: set, out: map[uint64]func(reader.End){}, dice: rand.New(rand.NewPCG(w.set.Seed, 99)),
-		due: make([]time.Duration, set.Readers), got: map[string]*Got{}}
-	for range set.Readers {
-		r, err := reader.New(reader.Settings{Cores: 2, Room: int(3 * set.Pace), Restart: 5 * time.Second})
+		due: make([]time.Duration, set.Readers), got: map[string]*Got{}, colds: make([]cold, set.Readers)}
+	for i := range set.Readers {
+		l.colds[i].from = brain.LongAgo
+		r, err := reader.New(reader.Settings{Cores: 2, Room: int(3 * set.Pace), Restart: restart, Cold: set.Cold.For,
+			ColdPace: set.Cold.Share})
 		if err != nil {
 			panic(err) // constants
 		}
@@ -192,12 +215,46 @@
 	}
 	l.ids++
 	l.out[l.ids] = end
+	l.count(i)
 	work := time.Duration(2 / l.set.Pace * (0.6 + 0.8*l.dice.Float64()) * float64(time.Second))
 	r.Arrive(l.w.now, l.ids, work, until, l.ended)
 	l.look(i)
 	return l.ids, true
 }
 
+// count checks what a cold searcher is sent by all mixers together: over N + 3 x root of N + 3 parts in a span, N being what it
+// stands then, it falls.
+func (l *load) count(i int) {
+	c, set := &l.colds[i], l.set.Cold
+	now := l.w.now
+	if set.For == 0 || c.from == brain.LongAgo || now-c.from > set.For {
+		return
+	}
+	c.at = append(slices.DeleteFunc(c.at, func(t time.Duration) bool { return t <= now-set.Span }), now)
+	pace := l.set.Pace * (set.Share + (1-set.Share)*float64(now-c.from)/float64(set.For))
+	n := set.Multiple * pace * set.Span.Seconds()
+	most := n + 3*math.Sqrt(n) + 3
+	if l.worst = max(l.worst, float64(len(c.at))/most); float64(len(c.at)) > most {
+		l.w.broke("cold: searcher %d is sent %d parts in %v, %.1f push it over", i, len(c.at), set.Span, most)
+	}
+}
+
+// Replace ends a searcher; it starts anew, cold, and the list tells each mixer of it so much later.
+func (w *World) Replace(i int, late func() time.Duration) {
+	w.Crash(i)
+	w.after(restart, func() {
+		w.load.colds[i] = cold{from: w.now}
+		from := w.now
+		for _, n := range w.Nodes {
+			w.after(late(), func() {
+				if n.up {
+					n.mix.in(func() { n.mix.told(i, from) })
+				}
+			})
+		}
+	})
+}
+
 func (l *load) ended(id uint64, how reader.End) {
 	end := l.out[id]
 	delete(l.out, id)
--- a/fleet/fleetsim/mixer.go
+++ b/fleet/fleetsim/mixer.go
@@ -49,8 +49,11 @@
 	m := &mixer{n: n, life: n.life, scans: map[uint64]*scan{}, parts: map[uint64]*part{}, room: math.Inf(1)}
 	set := brain.Settings{Seed: n.w.set.Seed*1000 + n.Inc, Me: n.i, Mixers: n.w.set.Mixers, Cells: l.set.Readers, Reach: 2,
 		PartsPerCall: 1, MaxTries: 3, SecondCopies: true, RetryAdvice: true, MaxRetryIn: 5 * time.Second, MayCancel: true,
-		Round: 5 * time.Millisecond, AskEvery: 10 * time.Second, ColdFor: 5 * time.Second, FallSpan: time.Second,
-		ColdShare: 0.5, FallMultiple: 3}
+		Round: 5 * time.Millisecond, AskEvery: 10 * time.Second, ColdFor: l.set.Cold.For, FallSpan: l.set.Cold.Span,
+		ColdShare: l.set.Cold.Share, FallMultiple: l.set.Cold.Multiple}
+	if l.set.Cold.Unknown {
+		set.ColdFor, set.FallSpan = 0, 0
+	}
 	for _, b := range worth {
 		set.Types = append(set.Types, brain.TableType{Target: target, Timeout: timeout, Benefit: b, Need: 1, Floor: 1})
 	}
@@ -60,12 +63,23 @@
 	m.m = brain.New(set, m, 0)
 	m.m.ListBegin(brain.Whole)
 	for i := range l.readers {
-		m.m.ListEntry(i, brain.Ready, 1, brain.LongAgo, i)
+		from := l.colds[i].from
+		if from != brain.LongAgo {
+			from -= n.born
+		}
+		m.m.ListEntry(i, brain.Ready, 1, from, i)
 	}
 	m.m.ListEnd(brain.Whole)
 	return m
 }
 
+// told is the list's word that a searcher has started anew.
+func (m *mixer) told(i int, from time.Duration) {
+	m.m.ListBegin(brain.Changes)
+	m.m.ListEntry(i, brain.Ready, 1, from-m.n.born, i)
+	m.m.ListEnd(brain.Changes)
+}
+
 // in has the module take an event, now or when its process wakes; never after its life.
 func (m *mixer) in(f func()) {
 	if m.n.up && m.n.life == m.life {
--- a/fleet/fleetsim/node.go
+++ b/fleet/fleetsim/node.go
@@ -66,8 +66,10 @@
 	if n.w.load != nil {
 		n.mix = newMixer(n)
 	}
-	n.beat(n.life)
-	n.tick(n.life)
+	if !n.w.set.Mute {
+		n.beat(n.life)
+		n.tick(n.life)
+	}
 }
 
 // do has the mixer do something now, or when it wakes.
