--- a/fleet/fleetsim/world.go
+++ b/fleet/fleetsim/world.go
@@ -12,16 +12,15 @@
 
 // Settings are what a fleet is.
 type Settings struct {
-	Mixers  int
-	Seed    uint64
-	Beat    time.Duration // between words to all others
-	Lease   time.Duration
-	Probes  float64 // the fleet's figure of probes a second: the budget that stories spend from
-	Load    Load    // of clients and searchers; none where Readers is 0
-	Mute    bool    // no words between mixers at all
-	Shared  bool    // overload is handled as one; else each mixer by itself, as without a fleet
-	Plant   string  // the name of a planted fault; empty for none
-	Verbose func(string)
+	Mixers int
+	Seed   uint64
+	Beat   time.Duration // between words to all others
+	Lease  time.Duration
+	Probes float64 // the fleet's figure of probes a second: the budget that stories spend from
+	Load   Load    // of clients and searchers; none where Readers is 0
+	Mute   bool    // no words between mixers at all
+	Shared bool    // overload is handled as one; else each mixer by itself, as without a fleet
+	Plant  string  // the name of a planted fault; empty for none
 }
 
 // Default is a fleet of so many mixers.
--- a/fleet/overload/shed.go
+++ b/fleet/overload/shed.go
@@ -107,14 +107,14 @@
 }
 
 const (
-	cutBack  = 0.5 // a second, of what is let in over what is done
-	openUp   = 0.1 // a second
-	openWide = 0.5 // a second, while scans are quick
-	pressed  = 0.6 // of the time that a scan may take
-	atEase   = 0.4
+	cutBack  = 0.5  // a second, of what is let in over what is done
+	openUp   = 0.1  // a second
+	openWide = 0.5  // a second, while scans are quick
+	pressed  = 0.6  // of the time that a scan may take
+	atEase   = 0.4  // of it: so quick that nothing is short of room
 	allDone  = 0.95 // of what is let in: so much done counts as all
-	trickle  = 0.05
-	ampleFor = 1.3 // so many times what is asked for is no bound any more
+	trickle  = 0.05 // of what is asked for, let in whatever is done
+	ampleFor = 1.3  // so many times what is asked for is no bound any more
 )
 
 // NewRoom begins without a bound.
