--- a/fleet/fleetsim/mixer.go
+++ b/fleet/fleetsim/mixer.go
@@ -11,15 +11,14 @@
 
 // mixer is the real module of one life of a node, with what it has in hand.
 type mixer struct {
-	n            *Node
-	life         int
-	m            *brain.Mixer
-	ids          uint64
-	scans        map[uint64]*scan
-	parts        map[uint64]*part
-	saw          overload.Report // since the last report
-	strain, ends float64         // summed up, and over how many scans
-	room         float64
+	n     *Node
+	life  int
+	m     *brain.Mixer
+	ids   uint64
+	scans map[uint64]*scan
+	parts map[uint64]*part
+	meter *overload.Meter
+	room  float64
 }
 
 type scan struct {
@@ -46,7 +45,7 @@
 
 func newMixer(n *Node) *mixer {
 	l := n.w.load
-	m := &mixer{n: n, life: n.life, scans: map[uint64]*scan{}, parts: map[uint64]*part{}, room: math.Inf(1)}
+	m := &mixer{n: n, life: n.life, scans: map[uint64]*scan{}, parts: map[uint64]*part{}, room: math.Inf(1), meter: overload.NewMeter(l.kinds)}
 	set := brain.Settings{Seed: n.w.set.Seed*1000 + n.Inc, Me: n.i, Mixers: n.w.set.Mixers, Cells: l.set.Readers, Reach: 2,
 		PartsPerCall: 1, MaxTries: 3, SecondCopies: true, RetryAdvice: true, MaxRetryIn: 5 * time.Second, MayCancel: true,
 		Round: 5 * time.Millisecond, AskEvery: 10 * time.Second, ColdFor: l.set.Cold.For, FallSpan: l.set.Cold.Span,
@@ -97,18 +96,7 @@
 	m.ids++
 	s := &scan{id: m.ids, class: c.class, at: m.n.w.now, done: done}
 	m.scans[s.id] = s
-	if again {
-		m.saw.Again++
-	} else {
-		m.saw.First++
-	}
-	kinds := m.n.w.load.kinds
-	if m.saw.Bins == nil {
-		m.saw.Bins, m.saw.Scans = make([]float64, kinds.Len()), make([]float64, kinds.Len())
-	}
-	bin := kinds.Bin(c.class, c.tenant)
-	m.saw.Scans[bin]++
-	m.saw.Bins[bin] += partsOf
+	m.meter.Came(c.class, c.tenant, partsOf, again)
 	m.m.Scan(s.id, s.id, c.class, c.tenant, timeout, 0, partsOf, again)
 	for range partsOf {
 		if m.scans[s.id] == nil {
@@ -127,7 +115,7 @@
 }
 
 // end is a final answer: the one there is.
-func (m *mixer) end(id uint64, ok bool, in time.Duration) {
+func (m *mixer) end(id uint64, how overload.End, in time.Duration) {
 	s := m.scans[id]
 	if s == nil {
 		m.n.w.broke("scans: %s answers a scan twice", m.n.Name)
@@ -135,13 +123,8 @@
 	}
 	delete(m.scans, id)
 	took := m.n.w.now - s.at
-	if ok {
-		m.saw.Done++
-	}
-	if x, told := overload.Strain(took, target, ok); told {
-		m.strain, m.ends = m.strain+x, m.ends+1
-	}
-	m.n.w.after(0, func() { s.done(ok && took <= target, in) })
+	m.meter.Ended(how, took, target)
+	m.n.w.after(0, func() { s.done(how == overload.Done && took <= target, in) })
 }
 
 // Dispatch and the others below are the module's actions.
@@ -177,7 +160,7 @@
 		t := p.tries[no]
 		t.out = false
 		if out == brain.Pass {
-			m.saw.Carried++
+			m.meter.Carried()
 		}
 		m.m.Returned(id, no, out, m.n.w.now-t.at)
 	})
@@ -194,16 +177,15 @@
 	})
 }
 
-func (m *mixer) Complete(id uint64, _ bool) { m.end(id, true, 0) }
+func (m *mixer) Complete(id uint64, _ bool) { m.end(id, overload.Done, 0) }
 
 func (m *mixer) Throttle(id uint64, in time.Duration) {
-	m.saw.Turned++
 	if m.n.planted(plantSilence) && id%10 == 0 {
 		return
 	}
-	m.end(id, false, in)
+	m.end(id, overload.Turned, in)
 	if m.n.planted(plantAnswer) {
-		m.end(id, false, in)
+		m.end(id, overload.Turned, in)
 	}
 	if m.n.planted(plantAfter) {
 		for p, x := range m.parts {
@@ -215,7 +197,7 @@
 	}
 }
 
-func (m *mixer) Abandon(id uint64) { m.saw.Failed++; m.end(id, false, 0) }
+func (m *mixer) Abandon(id uint64) { m.end(id, overload.Failed, 0) }
 func (m *mixer) Renew(int)         {}
 func (m *mixer) Subscribe()        {}
 func (m *mixer) Tell([]byte)       {}
@@ -232,20 +214,7 @@
 	if !ok {
 		return
 	}
-	m, span := n.mix, due.Seconds()
-	r := m.saw
-	for _, x := range []*float64{&r.First, &r.Again, &r.Done, &r.Turned, &r.Failed, &r.Carried} {
-		*x /= span
-	}
-	for i := range r.Bins {
-		r.Bins[i] /= span
-		r.Scans[i] /= span
-	}
-	if m.ends > 0 {
-		r.Pressure = m.strain / m.ends
-	}
-	m.saw, m.strain, m.ends = overload.Report{}, 0, 0
-	if err := n.Report(r); err != nil {
+	if err := n.Report(n.mix.meter.Take(due)); err != nil {
 		n.w.broke("%s can't tell its load: %v", n.Name, err)
 	}
 }
--- a/fleet/overload/judge.go
+++ b/fleet/overload/judge.go
@@ -19,23 +19,6 @@
 	Carried  float64   `json:"c"` // work that searchers did, in parts
 }
 
-// Strain is how long a scan took in what it may take, for Report's pressure; false for one that was turned away early and
-// so tells nothing of it. One that was let in, and not done, counts as much too late.
-func Strain(took, target time.Duration, done bool) (x float64, ok bool) {
-	switch {
-	case done:
-		return float64(took) / (mayTake * float64(target)), true
-	case took > target/2:
-		return lostStrain, true
-	}
-	return 0, false
-}
-
-const (
-	mayTake    = 0.6 // of its target
-	lostStrain = 2 / mayTake
-)
-
 // Add sums reports up; the fleet's pressure is the mean by what is asked for.
 func (r *Report) Add(o Report) {
 	if all := r.Asked() + o.Asked(); all > 0 {
--- a/mixer/ally.go
+++ b/mixer/ally.go
@@ -30,24 +30,22 @@
 
 	mu     sync.Mutex
 	mind   *fleet.Mind
-	kinds  overload.Kinds
+	meter  *overload.Meter
 	others []string
-	saw    overload.Report // counts since the last report, not rates
-	ends   float64         // strains summed up in saw's pressure
-	stands view.Standing   // as last logged
+	stands view.Standing // as last logged
 	mood   overload.Mood
 }
 
 func newAlly(c *Config, log *zap.Logger, o *owner, inc uint64, send func(string, []byte)) (*ally, error) {
 	set := &c.Settings.Brain
 	a := &ally{log: log.Named("fleet"), o: o, send: send, types: set.Types, beat: c.Ours.Fleet.Beat, start: time.Now()}
+	kinds := overload.Kinds{Quota: set.Quotas}
 	for _, t := range set.Types {
-		a.kinds.Benefit = append(a.kinds.Benefit, t.Benefit)
+		kinds.Benefit = append(kinds.Benefit, t.Benefit)
 	}
-	a.kinds.Quota = set.Quotas
-	a.forget()
+	a.meter = overload.NewMeter(kinds)
 	var err error
-	a.mind, err = fleet.New(fleet.Settings{Me: c.Name, Inc: inc, Instances: c.Ours.Fleet.Instances, Beat: a.beat, Kinds: a.kinds}, 0)
+	a.mind, err = fleet.New(fleet.Settings{Me: c.Name, Inc: inc, Instances: c.Ours.Fleet.Instances, Beat: a.beat, Kinds: kinds}, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -57,45 +55,30 @@
 
 func (a *ally) now() time.Duration { return time.Since(a.start) }
 
-func (a *ally) forget() {
-	a.ends, a.saw = 0, overload.Report{Scans: make([]float64, a.kinds.Len()), Bins: make([]float64, a.kinds.Len())}
-}
-
 // Came, Ended and Carried come from the life of scans, within its batches.
 func (a *ally) Came(class, tenant, parts int, again bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if again {
-		a.saw.Again++
-	} else {
-		a.saw.First++
-	}
-	bin := a.kinds.Bin(class, tenant)
-	a.saw.Scans[bin]++
-	a.saw.Bins[bin] += float64(parts)
+	a.meter.Came(class, tenant, parts, again)
 }
 
 func (a *ally) Ended(kind attempt.Kind, class int, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	how := overload.Failed
 	switch kind {
 	case attempt.Completed:
-		a.saw.Done++
+		how = overload.Done
 	case attempt.Throttled:
-		a.saw.Turned++
-	default:
-		a.saw.Failed++
-	}
-	if x, ok := overload.Strain(took, a.types[class].Target, kind == attempt.Completed); ok {
-		a.saw.Pressure += x
-		a.ends++
+		how = overload.Turned
 	}
+	a.meter.Ended(how, took, a.types[class].Target)
 }
 
 func (a *ally) Carried() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.saw.Carried++
+	a.meter.Carried()
 }
 
 // View and Message come from the group. Who it says is gone is not told anything any more; that one lives is told by its
@@ -143,17 +126,7 @@
 	a.mu.Lock()
 	a.mind.At(a.now())
 	if span, ok := a.mind.Due(); ok {
-		r := a.saw
-		for _, x := range []*float64{&r.First, &r.Again, &r.Done, &r.Turned, &r.Failed, &r.Carried} {
-			*x /= span.Seconds()
-		}
-		for i := range r.Bins {
-			r.Scans[i] /= span.Seconds()
-			r.Bins[i] /= span.Seconds()
-		}
-		r.Pressure /= max(a.ends, 1)
-		a.forget()
-		if err := a.mind.Report(r); err != nil {
+		if err := a.mind.Report(a.meter.Take(span)); err != nil {
 			a.log.Error("load not told", zap.Error(err))
 		}
 	}
