--- a/fleet/fleetsim/node.go
+++ b/fleet/fleetsim/node.go
@@ -105,16 +105,15 @@
 		n.report()
 	}
 	var names []string
+	var others []*Node
 	for _, o := range n.w.Nodes {
 		if o != n {
-			names = append(names, o.Name)
+			names, others = append(names, o.Name), append(others, o)
 		}
 	}
 	for i, msg := range n.Speak(leaves, names) {
 		n.said = msg.Word.No
-		if o, err := n.w.Find(names[i]); err == nil {
-			n.w.send(n, o, len(msg.Append(nil)), func() { o.heard(msg) })
-		}
+		n.w.send(n, others[i], len(msg.Append(nil)), func() { others[i].heard(msg) })
 	}
 }
 
