--- a/brain/brain.go
+++ b/brain/brain.go
@@ -65,6 +65,8 @@
 	strangeTop   = 0.8                    // losses among those not heard from, at most
 	coreSure     = 0.5                    // of one core's pace is held to be there in any searcher
 	coldPace     = 0.75                   // of its budget that a cold searcher gets evenly, the rest at once
+	nearEnough   = 0.4                    // of the target: a holder close by that costs no more goes first
+	farthest     = 3.0                    // above any distance told
 	eps          = 5e-5
 )
 
--- a/brain/pick.go
+++ b/brain/pick.go
@@ -3,7 +3,6 @@
 // Which searcher takes a part: the replica rule, and what keeps searchers from being taken.
 
 import (
-	"iter"
 	"math"
 	"math/bits"
 	"slices"
@@ -17,14 +16,6 @@
 	return m.orphan(p) || best >= 0 && m.weigh(&m.srvs[best]) > (m.cutAt(sc)-m.now).Seconds()
 }
 
-// orphan tells that the list names nobody for a part's shard.
-func (m *Mixer) orphan(p *part) bool {
-	for range m.holders(p.shard) {
-		return false
-	}
-	return true
-}
-
 // tie orders parts of one weight: by how soon the shard's best searcher should answer if asked for, else by the dice.
 func (m *Mixer) tie(p *part) float64 {
 	if m.soonest {
@@ -35,19 +26,6 @@
 	return m.dice.roll(p.id)
 }
 
-// holders walks the searchers that may be sent a shard's parts.
-func (m *Mixer) holders(shard int) iter.Seq[int32] {
-	return func(yield func(int32) bool) {
-		for j := range min(m.reach, len(m.cells)) {
-			for _, i := range m.cells[(shard+j)%len(m.cells)] {
-				if !yield(i) {
-					return
-				}
-			}
-		}
-	}
-}
-
 // noRoom tells that every holder of a part's shard has turned parts away as full for a while: what waits for
 // one is best asked again later. For a moment a part waits. It could give up as they have just got room.
 func (m *Mixer) noRoom(p *part) bool {
@@ -200,7 +178,7 @@
 		if m.joins(s, fair) {
 			out--
 		}
-		cost := m.weigh(s) * m.triesAt(s) * out
+		cost := m.near(s, m.weigh(s)*m.triesAt(s)*out/m.cls[p.class].target.Seconds())
 		if rank < bestRank || (rank == bestRank && cost < bestCost) {
 			best, bestRank, bestCost = i, rank, cost
 		}
@@ -208,6 +186,15 @@
 	return best
 }
 
+// near has a holder close by go first while its cost is a small share of the target: what crosses zones is slower and
+// dear, and a farther one is no use until the near one is crowded. It could let near ones fill before far ones are used.
+func (m *Mixer) near(s *srv, cost float64) float64 {
+	if cost > nearEnough {
+		return farthest + cost
+	}
+	return float64(s.far) + cost
+}
+
 func (m *Mixer) joins(s *srv, n int) bool {
 	return s.call >= 0 && s.callAt == m.now && m.calls.at[s.call].total < n
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"time"
 
 	"peathollow/sliding"
@@ -53,6 +54,7 @@
 	callAt   time.Duration
 	listed   bool
 	turn     int // the last count of holders that met it
+	far      int // 0 close by, 1 farther, 2 farthest
 }
 
 type call struct {
@@ -218,3 +220,27 @@
 
 // Forget gives back the index of a searcher that is gone and has nothing out: it may be another's next.
 func (m *Mixer) Forget(i int) { m.srvs[i] = m.unknown() }
+
+// orphan tells that the list names nobody for a part's shard.
+func (m *Mixer) orphan(p *part) bool {
+	for range m.holders(p.shard) {
+		return false
+	}
+	return true
+}
+
+// holders walks the searchers that may be sent a shard's parts.
+func (m *Mixer) holders(shard int) iter.Seq[int32] {
+	return func(yield func(int32) bool) {
+		for j := range min(m.reach, len(m.cells)) {
+			for _, i := range m.cells[(shard+j)%len(m.cells)] {
+				if !yield(i) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Far tells how far a searcher is: 0 close by, 1 farther, 2 farthest. Without it all count as close by.
+func (m *Mixer) Far(i, far int) { m.srvs[i].far = far }
--- a/chandler/client.go
+++ b/chandler/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
@@ -110,9 +111,9 @@
 
 // once makes one call, and follows where it is sent twice.
 func (c *Client) once(ctx context.Context, method, peer, path string, body []byte) (int, []byte, error) {
-	url := "http://" + peer + path
+	target := "http://" + peer + path
 	for hops := 0; ; hops++ {
-		res, answer, err := c.exchange(ctx, method, url, body)
+		res, answer, err := c.exchange(ctx, method, target, body)
 		if err != nil {
 			return 0, nil, errors.Wrapf(err, "peer %s", peer)
 		}
@@ -123,18 +124,18 @@
 		if err != nil || hops == redirectsMost {
 			return 0, nil, errors.Errorf("peer %s: sent elsewhere %d times, or to nowhere", peer, hops+1)
 		}
-		url = to.String()
+		target = to.String()
 	}
 }
 
-func (c *Client) exchange(ctx context.Context, method, url string, body []byte) (*http.Response, []byte, error) {
+func (c *Client) exchange(ctx context.Context, method, target string, body []byte) (*http.Response, []byte, error) {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	// Silence is what ends a call: an answer that has begun to come may take its time.
 	patience := silenceMost + time.Duration(len(body))*time.Second/bytesASecond
 	silence := time.AfterFunc(patience, func() { stop(errors.Errorf("silent for %v", patience)) })
 	defer silence.Stop()
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -157,11 +158,15 @@
 	return res, answer, nil
 }
 
-// because puts the cause in place of "context canceled".
+// because puts the cause in place of "context canceled", and leaves out what the caller says besides.
 func because(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
+	var outer *url.Error
+	if errors.As(err, &outer) {
+		return outer.Err
+	}
 	return err
 }
 
--- a/internal/standin/berths/system.go
+++ b/internal/standin/berths/system.go
@@ -220,9 +220,13 @@
 
 // Change puts a version and waits till each front routes by it.
 func (s *System) Change(ctx context.Context, version int) error {
-	if _, err := s.client.Put(ctx, Config(version)); err != nil {
+	held, err := s.client.Put(ctx, Config(version))
+	if err != nil {
 		return errors.Wrapf(err, "version %d", version)
 	}
+	if held > uint64(version) {
+		return errors.Errorf("version %d: somebody else has put version %d", version, held)
+	}
 	for i, at := range s.Fronts {
 		n := 0
 		err := s.until(ctx, fmt.Sprintf("front %d routes by version %d", i, version), func() bool {
--- a/passage/list.go
+++ b/passage/list.go
@@ -90,6 +90,7 @@
 func (g *group) entry(k *host) {
 	if k != nil {
 		g.m.ListEntry(k.index, k.State, 1, brain.LongAgo, slices.Index(g.cells, k.Service))
+		g.m.Far(k.index, k.Far)
 	}
 }
 
--- a/passage/types.go
+++ b/passage/types.go
@@ -23,6 +23,7 @@
 	ID, Address, Service string
 	State                brain.Standing
 	Silent               bool // it has not been heard of lately
+	Far                  int  // 0 in this zone, 1 in this region, 2 elsewhere
 }
 
 // Kind says how a request ended.
--- a/quay/quay.go
+++ b/quay/quay.go
@@ -177,7 +177,8 @@
 		if e.State != roster.Ready {
 			st = brain.Draining
 		}
-		hosts = append(hosts, passage.Host{ID: e.ID, Address: e.Address, Service: e.Plant, State: st, Silent: e.Silent})
+		hosts = append(hosts, passage.Host{ID: e.ID, Address: e.Address, Service: e.Plant, State: st, Silent: e.Silent,
+			Far: q.far(e.Zone)})
 		ids[e.ID] = true
 	}
 	q.life.List(hosts)
@@ -189,6 +190,17 @@
 	}
 }
 
+// far is how far a zone is, as the module counts it.
+func (q *Quay) far(zone string) int {
+	switch {
+	case zone == q.set.Zone || zone == "":
+		return 0
+	case q.set.Zones[zone] == q.set.Region:
+		return 1
+	}
+	return 2
+}
+
 func (q *Quay) now() time.Duration { return time.Since(q.start) }
 
 // due is the clock's call.
