Control plane crosses fewer zones: no flapping counts between harbours, near harbours, near beats

Cause: harbours took each other's count of mixers as theirs and woke all links for ever; tenders stayed on the seed they met first; searchers beat anywhere.

--- a/chandler/check.go
+++ b/chandler/check.go
@@ -61,6 +61,7 @@
 		f.value(steps(path))
 		at = f.at
 	}
+	raw = bytes.TrimRight(raw, " \t\r\n") // a document cut short ends on its last line
 	return 1 + bytes.Count(raw[:min(at, len(raw))], []byte("\n"))
 }
 
--- a/ferry/board.go
+++ b/ferry/board.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"peathollow/manifest"
 	"peathollow/roster"
 )
@@ -25,6 +27,7 @@
 	packed  []byte // doc, when somebody has needed it whole
 	earlier []*manifest.Manifest
 	core    []Place
+	coreSum uint64
 	mixers  int
 	alone   bool
 	changed chan struct{}
@@ -96,7 +99,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(core) > 0 && !slices.Equal(b.core, core) {
-		b.core = slices.Clone(core)
+		b.core, b.coreSum = slices.Clone(core), digest(core)
 		b.tell()
 	}
 }
@@ -146,10 +149,14 @@
 func (b *Board) cargo(a *Ask) (Cargo, bool, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := Cargo{News: b.roster.Since(a.Want, entriesMost), Alone: b.alone, Mixers: b.mixers}
-	some := !c.News.Empty() || b.alone != a.Alone || b.mixers != a.Mixers
-	if !slices.Equal(a.Core, b.core) {
-		c.Core, some = b.core, true
+	c := Cargo{News: b.roster.Since(a.Want, entriesMost)}
+	some := !c.News.Empty()
+	if !a.Peer {
+		c.Alone, c.Mixers = b.alone, b.mixers
+		some = some || b.alone != a.Alone || b.mixers != a.Mixers
+		if a.Core != b.coreSum {
+			c.Core, some = b.core, true
+		}
 	}
 	if b.doc != nil && b.doc.Version > a.Version {
 		some = true
@@ -168,7 +175,7 @@
 }
 
 // take merges a cargo; an error means that the asker should ask for the whole configuration.
-func (b *Board) take(c *Cargo, now time.Time) error {
+func (b *Board) take(c *Cargo, peer bool, now time.Time) error {
 	var m *manifest.Manifest
 	var err error
 	if c.Whole != nil {
@@ -188,10 +195,10 @@
 	if m != nil && err == nil {
 		b.put(m)
 	}
-	if len(c.Core) > 0 && !slices.Equal(b.core, c.Core) {
-		b.core, changed = c.Core, true
+	if !peer && len(c.Core) > 0 && !slices.Equal(b.core, c.Core) {
+		b.core, b.coreSum, changed = c.Core, digest(c.Core), true
 	}
-	if c.Mixers > 0 && c.Mixers != b.mixers {
+	if !peer && c.Mixers > 0 && c.Mixers != b.mixers {
 		b.mixers, changed = c.Mixers, true
 	}
 	if changed || !c.News.Empty() {
@@ -199,3 +206,11 @@
 	}
 	return err
 }
+
+func digest(core []Place) uint64 {
+	var h xxh3.Hasher
+	for _, p := range core {
+		h.WriteString(p.Addr + "," + p.Zone + "," + p.Region + ";")
+	}
+	return h.Sum64()
+}
--- a/ferry/pull.go
+++ b/ferry/pull.go
@@ -38,10 +38,11 @@
 	Want    roster.Want
 	Version uint64 // of the configuration held
 	Whole   bool   // a difference did not fit: the whole is wanted
-	Core    []Place
+	Core    uint64 // digest of the list of core machines held
 	Mixers  int
 	Alone   bool
-	Tenders int // that pull from the asker, if it is a harbour
+	Peer    bool // the asker is a harbour: it knows of core machines and mixers itself
+	Tenders int  // that pull from such an asker
 }
 
 // Cargo is what the asker lacks.
@@ -154,8 +155,10 @@
 	Merged func()
 	// Fault is told why a link ended; may be nil.
 	Fault func(peer string, err error)
-	// Tenders is told to a peer harbour; may be nil.
+	// Tenders is told where one harbour pulls from another; nil elsewhere.
 	Tenders func() int
+	// Better tells that there is an address to be preferred to the present one; may be nil.
+	Better func(addr string) bool
 	// MoveOn has a server that is out of touch left for another.
 	MoveOn bool
 }
@@ -172,6 +175,9 @@
 		}
 		if answered {
 			tried = 0
+			if err == nil {
+				continue // for a better one
+			}
 		}
 		if err != nil && p.Fault != nil && ctx.Err() == nil {
 			p.Fault(addr, err)
@@ -212,24 +218,27 @@
 			return answered, errors.Wrapf(err, "pull, peer %s", addr)
 		}
 		answered, by, alone = true, cargo.News.By, cargo.Alone
-		whole = p.Board.take(&cargo, time.Now()) != nil
+		whole = p.Board.take(&cargo, p.Tenders != nil, time.Now()) != nil
 		if p.Merged != nil {
 			p.Merged()
 		}
 		if alone && p.MoveOn {
 			return false, errAlone
 		}
+		if p.Better != nil && p.Better(addr) {
+			return true, nil
+		}
 	}
 }
 
 func (p *Puller) ask(by string, whole, alone bool) Ask {
 	a := Ask{Node: p.Node, Life: p.Life, Kind: p.Kind, Whole: whole, Alone: alone}
 	if p.Tenders != nil {
-		a.Tenders = p.Tenders()
+		a.Tenders, a.Peer = p.Tenders(), true
 	}
 	p.Board.mu.Lock()
 	defer p.Board.mu.Unlock()
-	a.Want, a.Core, a.Mixers = p.Board.roster.Want(by), p.Board.core, p.Board.mixers
+	a.Want, a.Core, a.Mixers = p.Board.roster.Want(by), p.Board.coreSum, p.Board.mixers
 	if p.Board.doc != nil {
 		a.Version = p.Board.doc.Version
 	}
--- a/harbour/doors.go
+++ b/harbour/doors.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -97,7 +99,26 @@
 	if s.State == roster.Draining && !h.known(ctx, b.Vector()) {
 		return fault(http.StatusServiceUnavailable, "too few of the core know")
 	}
-	return reply{http.StatusOK, []byte("{}")}
+	return reply{http.StatusOK, h.beatTarget(s.Zone)}
+}
+
+// beatTarget names a harbour nearer to a searcher than this one, if one was heard from lately: beats cross zones at a
+// price.
+func (h *Harbour) beatTarget(zone string) []byte {
+	best, far := "", h.set.Far(zone)
+	h.core.mu.Lock()
+	for _, m := range h.core.epoch.Members {
+		if f := h.set.Between(m.Zone, zone); f < far && time.Since(h.core.heard[m.ID]) < aloneAfter {
+			best, far = m.Addr, f
+		}
+	}
+	h.core.mu.Unlock()
+	host, _, err := net.SplitHostPort(best)
+	if best == "" || err != nil {
+		return []byte("{}")
+	}
+	_, port, _ := net.SplitHostPort(h.set.Control)
+	return fmt.Appendf(nil, `{"beat-target":%q}`, net.JoinHostPort(host, port))
 }
 
 func (h *Harbour) leave(ctx context.Context, r *http.Request, _ []byte) reply {
--- a/helm/helmsim/faults.go
+++ b/helm/helmsim/faults.go
@@ -58,6 +58,9 @@
 
 // mayLose reports whether these, with all that count as lost now, are within the tolerance.
 func (w *World) mayLose(add ...*host) bool {
+	if w.o.Beyond {
+		return true
+	}
 	set := map[*host]bool{}
 	for _, h := range add {
 		set[h] = true
@@ -160,7 +163,7 @@
 	wipe := func(h *host, d time.Duration) { w.wipeSome(h, min(d, 1500*ms)) }
 	replace := func(h *host, _ time.Duration) { w.replace(h) }
 	wipeAll := func(*host, time.Duration) { w.wipeAll() }
-	w.draws = []fault{kill, freeze, hang, w.cut, w.cut, links, herd, wipe, wipe, replace, wipeAll}
+	w.draws = []fault{kill, freeze, hang, w.cut, w.cut, w.split, links, herd, wipe, wipe, replace, wipeAll}
 	if w.chance(0.5) {
 		few := []fault{}
 		for range 3 {
@@ -193,6 +196,24 @@
 	}
 }
 
+// split parts the machines in two, both ways or one.
+func (w *World) split(_ *host, d time.Duration) {
+	oneWay := w.chance(0.2)
+	w.Log("%v split for %v, one way %v", w.now, d, oneWay)
+	side := map[*host]bool{}
+	for _, h := range w.hosts {
+		side[h] = w.chance(0.5)
+	}
+	for _, h := range w.hosts {
+		for _, o := range w.hosts {
+			if side[h] != side[o] && (side[h] || !oneWay) {
+				w.cuts[[2]string{h.addr, o.addr}] = w.now + d
+			}
+		}
+		w.lost(h, d)
+	}
+}
+
 // wipeSome takes disks within the tolerance: one, or as many as it allows.
 func (w *World) wipeSome(h *host, d time.Duration) {
 	for _, set := range [][]*host{w.zoneOf(h), {h}} {
@@ -320,7 +341,9 @@
 	w.run(o.Span)
 	w.calm()
 	w.run(o.Span + 3000*ms)
-	w.ending()
+	if !o.Beyond {
+		w.ending()
+	}
 	w.linearizable()
 	r := Result{Epochs: w.seen.Epochs, Wipes: w.wipes, Replaced: w.replaced}
 	for _, c := range w.clients.history {
--- /dev/null
+++ b/internal/standin/berths/clients_test.go
@@ -0,0 +1,77 @@
+package berths
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"peathollow/internal/standin/rude"
+)
+
+// A check that lets wrong answers through would make every trial a success: each way of being wrong is planted here.
+func TestWrongAnswersAreSeen(t *testing.T) {
+	s := &System{}
+	for _, service := range []string{shard(0), shard(1), shard(2), single} {
+		for range copies {
+			server, err := rude.Start(rude.Options{})
+			must.NoError(t, err)
+			defer server.Close()
+			s.Searchers = append(s.Searchers, &Searcher{Server: server, service: service})
+		}
+	}
+	const id, path = "fan-1-0", "/fan/1"
+	parts := func(searchers ...int) (http.Header, []byte) {
+		var seals, records []string
+		for _, i := range searchers {
+			seals = append(seals, rude.Seal(s.Searchers[i].ID(), id))
+			for all := rude.Records(s.Searchers[i].ID(), path, 4); len(all) > 0; all = all[16:] {
+				records = append(records, string(all[:16]))
+			}
+		}
+		slices.Sort(records)
+		slices.Reverse(records)
+		return http.Header{"Part-Seals": {strings.Join(seals, ", ")}, "Missing-Parts": {string(rune('0' + 3 - len(searchers)))}},
+			[]byte(strings.Join(records[:min(topK, len(records))], ""))
+	}
+	h, body := parts(0, 2, 4)
+	missing, err := rightFan(s, id, path, h, body)
+	must.NoError(t, err)
+	must.Eq(t, 0, missing)
+	two, fewer := parts(1, 3)
+	missing, err = rightFan(s, id, path, two, fewer)
+	must.NoError(t, err)
+	must.Eq(t, 1, missing)
+
+	with := func(h http.Header, name, value string) http.Header {
+		h = h.Clone()
+		h.Set(name, value)
+		return h
+	}
+	seals := h.Get("Part-Seals")
+	for what, wrong := range map[string]struct {
+		h    http.Header
+		body []byte
+	}{
+		"another order":      {h, slices.Concat(body[16:], body[:16])},
+		"a record fewer":     {h, body[16:]},
+		"nothing":            {http.Header{}, nil},
+		"a seal twice":       {with(h, "Part-Seals", seals+", "+seals[:strings.Index(seals, ",")]), body},
+		"another's seal":     {with(h, "Part-Seals", strings.Replace(seals, id, "fan-2-0", 1)), body},
+		"a part unsaid":      {with(two, "Missing-Parts", "0"), fewer},
+		"parts of too many":  {with(two, "Part-Seals", seals), fewer},
+		"a part not counted": {with(h, "Missing-Parts", "1"), body},
+	} {
+		_, err := rightFan(s, id, path, wrong.h, wrong.body)
+		must.Error(t, err, must.Sprint(what))
+	}
+
+	one := s.ids(single)[1]
+	seal := http.Header{"Answer-Seal": {rude.Seal(one, id)}}
+	must.NoError(t, rightSingle(s.ids(single), id, path, seal, rude.Records(one, path, 4)))
+	must.Error(t, rightSingle(s.ids(single), id, path, seal, rude.Records(one, "/other", 4)))
+	must.Error(t, rightSingle(s.ids(single), "other", path, seal, rude.Records(one, path, 4)))
+	must.Error(t, rightSingle(s.ids(shard(0)), id, path, seal, rude.Records(one, path, 4)))
+}
--- a/passage/group.go
+++ b/passage/group.go
@@ -149,6 +149,7 @@
 	pt.tries = append(pt.tries, d)
 	h.out++
 	l.Counts.Sent++
+	l.Counts.Far[min(h.Far, 2)]++
 	if d.no > 0 {
 		l.Counts.Further++
 		l.book.Spend(l.now, pt.service)
--- a/passage/types.go
+++ b/passage/types.go
@@ -97,4 +97,5 @@
 	Taken, Relayed, Gathered, Partial, Refused, Failed, Left int
 	Sent, Further                                            int
 	Outcomes                                                 [brain.Stale + 1]int
+	Far                                                      [3]int // dispatches, by how far they went
 }
--- a/quay/quay.go
+++ b/quay/quay.go
@@ -178,7 +178,7 @@
 			st = brain.Draining
 		}
 		hosts = append(hosts, passage.Host{ID: e.ID, Address: e.Address, Service: e.Plant, State: st, Silent: e.Silent,
-			Far: q.far(e.Zone)})
+			Far: q.set.Far(e.Zone)})
 		ids[e.ID] = true
 	}
 	q.life.List(hosts)
@@ -190,17 +190,6 @@
 	}
 }
 
-// far is how far a zone is, as the module counts it.
-func (q *Quay) far(zone string) int {
-	switch {
-	case zone == q.set.Zone || zone == "":
-		return 0
-	case q.set.Zones[zone] == q.set.Region:
-		return 1
-	}
-	return 2
-}
-
 func (q *Quay) now() time.Duration { return time.Since(q.start) }
 
 // due is the clock's call.
@@ -249,5 +238,5 @@
 	q.mu.Unlock()
 	q.log.Info().Str("event", "tally").Int("taken", c.Taken).Int("relayed", c.Relayed).Int("gathered", c.Gathered).
 		Int("partial", c.Partial).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).
-		Int("sent", c.Sent).Int("further", c.Further).Int("in-hand", n).Ints("outcomes", c.Outcomes[:]).Msg("")
+		Int("sent", c.Sent).Int("further", c.Further).Int("in-hand", n).Ints("outcomes", c.Outcomes[:]).Ints("far", c.Far[:]).Msg("")
 }
--- a/tender/tender.go
+++ b/tender/tender.go
@@ -23,6 +23,7 @@
 	log   *log.Logger
 	life  string
 	board *ferry.Board
+	since time.Time // when the link was last chosen
 }
 
 // New makes an agent from what it is told.
@@ -42,7 +43,7 @@
 	defer stop()
 	s := ferry.Server{Board: t.board}
 	go s.Serve(all, ln)
-	p := ferry.Puller{Board: t.board, Node: t.set.Node, Life: t.life, Kind: "tender", Choose: t.choose, MoveOn: true,
+	p := ferry.Puller{Board: t.board, Node: t.set.Node, Life: t.life, Kind: "tender", Choose: t.choose, MoveOn: true, Better: t.better,
 		Fault: func(peer string, err error) {
 			t.log.Warn().Str("event", "link").Str("peer", peer).Err(err).Msg("")
 		}}
@@ -70,18 +71,10 @@
 // choose goes through the harbours: those of this zone, this region, all others, each in an order of this machine's
 // own, so that tenders spread; then the seeds, in case all that were known are gone.
 func (t *Tender) choose(tried int) string {
+	t.since = time.Now()
 	places := slices.Clone(t.board.Core())
-	far := func(p ferry.Place) int {
-		switch {
-		case p.Zone != "" && p.Zone == t.set.Zone:
-			return 0
-		case p.Region != "" && p.Region == t.set.Region:
-			return 1
-		}
-		return 2
-	}
 	slices.SortFunc(places, func(a, b ferry.Place) int {
-		if d := far(a) - far(b); d != 0 {
+		if d := t.far(a) - t.far(b); d != 0 {
 			return d
 		}
 		return int(int64(t.mark(a.Addr)) - int64(t.mark(b.Addr)))
@@ -108,6 +101,31 @@
 	return addrs[tried%len(addrs)]
 }
 
+func (t *Tender) far(p ferry.Place) int { return t.set.Far(p.Zone) }
+
+// settleFor is how long a link to a far harbour is kept before a nearer one is tried: one that was just left for a
+// fault is not returned to at once.
+const settleFor = 3 * time.Second
+
+// better tells that a harbour nearer than the present one is known. News crosses zones at a price.
+func (t *Tender) better(addr string) bool {
+	if time.Since(t.since) < settleFor {
+		return false
+	}
+	now, best := 3, 3
+	for _, p := range t.board.Core() {
+		best = min(best, t.far(p))
+		if p.Addr == addr {
+			now = t.far(p)
+		}
+	}
+	if best < now {
+		t.since = time.Now()
+		return true
+	}
+	return false
+}
+
 func (t *Tender) mark(addr string) uint32 {
 	h := fnv.New32a()
 	h.Write([]byte(t.set.Node))
