--- a/harbour/core.go
+++ b/harbour/core.go
@@ -33,6 +33,7 @@
 	calls  chan call
 	writes chan helm.Write
 	saved  chan uint64
+	jobs   chan func() error // other things to be kept on disk, behind the writes
 
 	// What others may read.
 	mu      sync.Mutex
@@ -40,6 +41,7 @@
 	primary string
 	heard   map[helm.ID]time.Time
 	next    atomic.Uint64
+	inForce atomic.Pointer[helm.Doc] // the newest that is known to be
 
 	committed func(helm.Doc)
 	members   func(helm.Epoch)
@@ -113,6 +115,7 @@
 		}
 	}
 	if a.Committed != nil {
+		c.inForce.Store(a.Committed)
 		c.committed(*a.Committed)
 	}
 	c.note()
@@ -133,31 +136,45 @@
 	}
 }
 
-// write syncs one write after the other.
+// write syncs one write after the other, and what else is to be kept when there is none.
 func (c *core) write(ctx context.Context) {
 	for {
+		var job func() error
+		token, told := uint64(0), false
 		select {
 		case <-ctx.Done():
 			return
 		case w := <-c.writes:
-			for {
-				err := c.store.Write(&w)
-				if err == nil {
-					break
-				}
-				c.log.Error().Str("event", "disk").Err(err).Msg("")
-				select {
-				case <-ctx.Done():
-					return
-				case <-time.After(200 * time.Millisecond):
-				}
+			job, token, told = func() error { return c.store.Write(&w) }, w.Token, true
+		default:
+			select {
+			case <-ctx.Done():
+				return
+			case w := <-c.writes:
+				job, token, told = func() error { return c.store.Write(&w) }, w.Token, true
+			case job = <-c.jobs:
+			}
+		}
+		for {
+			err := job()
+			if err == nil {
+				break
 			}
+			c.log.Error().Str("event", "disk").Err(err).Msg("")
 			select {
-			case c.saved <- w.Token:
 			case <-ctx.Done():
 				return
+			case <-time.After(200 * time.Millisecond):
 			}
 		}
+		if !told {
+			continue
+		}
+		select {
+		case c.saved <- token:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/harbour/harbour.go
+++ b/harbour/harbour.go
@@ -50,6 +50,7 @@
 
 type peer struct {
 	tenders int
+	life    string
 	at      time.Time
 }
 
@@ -78,8 +79,9 @@
 		c.Seeds = append(c.Seeds, h.at(host, portMail))
 	}
 	h.core = &core{node: helm.New(c, saved, 0), store: store, log: l, start: now, inbox: make(chan helm.Message, inboxMost),
-		calls: make(chan call, 64), writes: make(chan helm.Write, 4), saved: make(chan uint64, 4),
+		calls: make(chan call, 64), writes: make(chan helm.Write, 4), saved: make(chan uint64, 4), jobs: make(chan func() error, 1),
 		heard: map[helm.ID]time.Time{}, committed: h.committed, members: h.members}
+	h.recall()
 	l.Info().Str("event", "start").Str("id", string(h.core.node.ID())).Bool("remembers", saved != nil).Bool("cold", cold).Msg("")
 	return h, nil
 }
@@ -110,6 +112,7 @@
 	go news.Serve(ctx, lns[1])
 	go h.serveCalls(ctx, lns[2])
 	go h.tend(ctx)
+	go h.remember(ctx)
 	go h.core.run(ctx)
 	doors := &http.Server{Handler: h.doors(), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 10 * time.Second,
 		IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}
@@ -135,7 +138,10 @@
 			return
 		case <-t.C:
 		}
-		h.board.With(func(r *roster.Roster) bool { return r.Tick(time.Now()) })
+		h.board.With(func(r *roster.Roster) bool {
+			h.adopt(r)
+			return r.Tick(time.Now())
+		})
 		h.board.SetAlone(h.core.alone())
 		h.board.SetMixers(h.mixers())
 	}
@@ -203,7 +209,7 @@
 	case "tender":
 		h.tenders[a.Node] = time.Now()
 	case "harbour":
-		h.peers[a.Node] = peer{a.Tenders, time.Now()}
+		h.peers[a.Node] = peer{a.Tenders, a.Life, time.Now()}
 		h.held[a.Node] = a.Want.Have
 		close(h.told)
 		h.told = make(chan struct{})
--- /dev/null
+++ b/harbour/memory.go
@@ -0,0 +1,102 @@
+package harbour
+
+import (
+	"context"
+	"time"
+
+	"peathollow/roster"
+)
+
+// What a harbour remembers beside helm's records, so that after a loss of all power the system serves again at once:
+// the configuration in force and the list of searchers. Neither is needed for any promise.
+
+// keepEvery is how often a changed list is written.
+const keepEvery = 500 * time.Millisecond
+
+// recall takes over what an earlier life kept.
+func (h *Harbour) recall() {
+	doc, entries := h.store.Remembered()
+	if doc != nil {
+		if m, err := open(doc.Body); err == nil {
+			h.board.Put(m)
+		} else {
+			h.log.Error().Str("event", "recall").Err(err).Msg("")
+		}
+	}
+	h.board.With(func(r *roster.Roster) bool {
+		r.Restore(time.Now(), entries)
+		return len(entries) > 0
+	})
+}
+
+// remember keeps what changes. The disk is one more reader of the list, with a cursor of its own.
+func (h *Harbour) remember(ctx context.Context) {
+	t := time.NewTicker(keepEvery)
+	defer t.Stop()
+	want := roster.Want{Name: "disk"}
+	version := uint64(0)
+	done := make(chan struct{}, 1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		var d roster.Delta
+		h.board.With(func(r *roster.Roster) bool {
+			want.By = r.Name()
+			d = r.Since(want, 1000)
+			return false
+		})
+		doc := h.core.inForce.Load()
+		if len(d.Entries) == 0 && (doc == nil || doc.Version == version) {
+			want.Cursor = d.Next
+			continue
+		}
+		select {
+		case h.core.jobs <- func() error {
+			if doc != nil && doc.Version != version {
+				if err := h.store.PutForce(*doc); err != nil {
+					return err
+				}
+			}
+			if err := h.store.PutSearchers(d.Entries); err != nil {
+				return err
+			}
+			done <- struct{}{}
+			return nil
+		}:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-done:
+			want.Cursor = d.Next
+			if doc != nil {
+				version = doc.Version
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// adopt minds the searchers of harbours' lives that are over; the roster's lock is held.
+func (h *Harbour) adopt(r *roster.Roster) {
+	if time.Since(h.core.start) < 2*h.set.BeatPeriod {
+		return
+	}
+	live := map[string]bool{h.life: true}
+	h.mu.Lock()
+	for _, p := range h.peers {
+		if time.Since(p.at) < forgetAfter {
+			live[p.life] = true
+		}
+	}
+	h.mu.Unlock()
+	for name := range r.Vector() {
+		if !live[name] {
+			r.Adopt(time.Now(), name)
+		}
+	}
+}
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/xxh3"
 
 	"peathollow/helm"
+	"peathollow/roster"
 )
 
 const format = 1
@@ -25,6 +26,11 @@
 	keyID   = "id"
 	keyVote = "vote"
 	keyCopy = "copy"
+	// keyForce holds the configuration last known to be in force. It may lag behind the copy, which may hold one whose
+	// fate is open.
+	keyForce = "force"
+	// keyYard begins the keys of searchers, by id.
+	keyYard = "yard/"
 )
 
 // Store is an open folder.
@@ -127,6 +133,62 @@
 	return nil
 }
 
+// PutForce keeps the configuration that is in force.
+func (s *Store) PutForce(d helm.Doc) error {
+	if err := s.db.Set([]byte(keyForce), encode(d), pebble.Sync); err != nil {
+		return errors.Wrap(err, "sync configuration")
+	}
+	return nil
+}
+
+// PutSearchers keeps what has changed in the list of searchers; those that are gone are forgotten.
+func (s *Store) PutSearchers(changed []roster.Entry) error {
+	b := s.db.NewBatch()
+	defer b.Close()
+	for i := range changed {
+		e := &changed[i]
+		key := []byte(keyYard + e.ID)
+		var err error
+		if e.State == roster.Gone {
+			err = b.Delete(key, nil)
+		} else {
+			err = b.Set(key, encode(e), nil)
+		}
+		if err != nil {
+			return errors.Wrap(err, "write searchers")
+		}
+	}
+	// Synced, though nothing hangs on it: after a loss of power unsynced bytes may come back in part, and these
+	// records share their log with those that count.
+	if err := b.Commit(pebble.Sync); err != nil {
+		return errors.Wrap(err, "sync searchers")
+	}
+	return nil
+}
+
+// Remembered gives the configuration and the searchers last kept. A record that can't be read is passed over: both are
+// told again by others.
+func (s *Store) Remembered() (*helm.Doc, []roster.Entry) {
+	var doc *helm.Doc
+	var d helm.Doc
+	if ok, err := s.read(keyForce, &d); ok && err == nil {
+		doc = &d
+	}
+	it, err := s.db.NewIter(&pebble.IterOptions{LowerBound: []byte(keyYard), UpperBound: []byte("yard0")})
+	if err != nil {
+		return doc, nil
+	}
+	defer it.Close()
+	var list []roster.Entry
+	for it.First(); it.Valid(); it.Next() {
+		var e roster.Entry
+		if v, err := it.ValueAndErr(); err == nil && decode(v, &e) == nil {
+			list = append(list, e)
+		}
+	}
+	return doc, list
+}
+
 // Close closes the folder.
 func (s *Store) Close() error { return s.db.Close() }
 
--- a/quay/quay.go
+++ b/quay/quay.go
@@ -38,6 +38,7 @@
 	pools   map[string]*mooring.Pool // by a searcher's id
 	gen     uint64
 	listed  bool
+	mixers  int
 	leaving atomic.Bool
 }
 
@@ -158,6 +159,7 @@
 	})
 	n := q.board.Mixers()
 	q.do(func() {
+		q.mixers = n
 		q.life.Mixers(n)
 		if gen != q.gen {
 			q.gen = gen
--- a/quay/send.go
+++ b/quay/send.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"peathollow/brain"
 	"peathollow/internal/mooring"
 	"peathollow/passage"
@@ -38,7 +40,7 @@
 		o := mooring.Options{}
 		if m := q.doc.Load(); m != nil {
 			if pl := m.Plants[h.Service]; pl != nil && pl.ConnLimit > 0 {
-				o.ConnMost = pl.ConnLimit
+				o.ConnMost = connShare(pl.ConnLimit, q.mixers)
 			}
 		}
 		p = mooring.NewPool(h.Address, o)
@@ -47,6 +49,20 @@
 	return p
 }
 
+const (
+	connLeast     = 4
+	connKept      = 0.9 // the rest is for those that have just started
+	mixersUnknown = 16
+)
+
+// connShare is how many connections of those that a searcher accepts from all mixers one may open.
+func connShare(limit, mixers int) int {
+	if mixers <= 0 {
+		mixers = mixersUnknown
+	}
+	return max(connLeast, int(connKept*float64(limit)/float64(mixers)))
+}
+
 // send carries a dispatch to its end.
 func (q *Quay) send(d *passage.Dispatch) {
 	s := d.Call.(*sending)
@@ -78,6 +94,9 @@
 		}
 		return brain.NoRoom
 	case mooring.NoConnect, mooring.Unsendable:
+		if errors.Is(a.Err, mooring.ErrFull) {
+			return brain.NoRoom // our own share of its connections is in use: it is there, and busy
+		}
 		return brain.NoRoute
 	case mooring.Broken:
 		return brain.Cut
--- a/roster/pull.go
+++ b/roster/pull.go
@@ -96,6 +96,19 @@
 	return r.gen != gen
 }
 
+// Restore takes what an earlier life of this process remembered. It was the whole list then and is taken for it now: a
+// stale entry costs a try, while waiting for the beats of all searchers costs the service. It claims nothing of any
+// source's numbers; entries that no harbour hears again fall silent once their source is adopted.
+func (r *Roster) Restore(now time.Time, entries []Entry) {
+	r.step(now)
+	for _, e := range entries {
+		if r.takes(&e) {
+			r.join(e)
+		}
+	}
+	r.whole = r.whole || len(r.recs) > r.gone
+}
+
 func (r *Roster) advance(d *Delta) {
 	c := r.chains[d.By]
 	if c == nil {
