--- a/cmd/peathollow/root.go
+++ b/cmd/peathollow/root.go
@@ -19,7 +19,7 @@
 	c.HideHelpCommand = false
 	c.EnableShellCompletion = true
 	c.Commands = append([]*cli.Command{serve(), check(), try(), duties(), verify(), version(),
-		status(), nodes(), searchers(), configuration()}, systemCommands()...)
+		status(), nodes(), searchers(), configuration(), lab()}, systemCommands()...)
 	// The library gives a command only the flags behind its name; what stands before it is the bare program's.
 	c.Before = func(ctx context.Context, c *cli.Command) (context.Context, error) {
 		if name := c.Args().First(); c.IsSet("settings") && name != "" && name != "serve" {
--- a/ferry/board.go
+++ b/ferry/board.go
@@ -151,6 +151,9 @@
 	defer b.mu.Unlock()
 	c := Cargo{News: b.roster.Since(a.Want, entriesMost)}
 	some := !c.News.Empty()
+	if a.Mend != nil {
+		c.Mend, some = b.compare(a.Mend, time.Now()), true
+	}
 	if !a.Peer {
 		c.Alone, c.Mixers = b.alone, b.mixers
 		some = some || b.alone != a.Alone || b.mixers != a.Mixers
--- a/ferry/pull.go
+++ b/ferry/pull.go
@@ -43,6 +43,7 @@
 	Alone   bool
 	Peer    bool // the asker is a harbour: it knows of core machines and mixers itself
 	Tenders int  // that pull from such an asker
+	Mend    *Mend
 }
 
 // Cargo is what the asker lacks.
@@ -54,6 +55,7 @@
 	Core    []Place
 	Mixers  int
 	Alone   bool // the teller is out of touch with most of the core
+	Mend    *Mend
 }
 
 // Server answers asks from a board.
@@ -204,8 +206,11 @@
 	in, w := gob.NewDecoder(bufio.NewReaderSize(c, 2048)), bufio.NewWriterSize(c, 2048)
 	out := gob.NewEncoder(w)
 	by, whole, alone := "", false, false
+	var mend *Mend
+	mended := time.Now().Add(-mendEvery) // at the second ask, when what the vector tells has come
 	for {
 		a := p.ask(by, whole, alone)
+		a.Mend = mend
 		c.SetDeadline(time.Now().Add(silenceMost))
 		if err := out.Encode(&a); err != nil {
 			return answered, errors.Wrapf(err, "ask, peer %s", addr)
@@ -219,6 +224,11 @@
 		}
 		answered, by, alone = true, cargo.News.By, cargo.Alone
 		whole = p.Board.take(&cargo, p.Tenders != nil, time.Now()) != nil
+		if mend = nil; cargo.Mend != nil {
+			mend = p.Board.step(cargo.Mend)
+		} else if !cargo.News.More && time.Since(mended) >= mendEvery {
+			mended, mend = time.Now(), p.Board.begin()
+		}
 		if p.Merged != nil {
 			p.Merged()
 		}
--- a/helm/helmsim/check.go
+++ b/helm/helmsim/check.go
@@ -70,6 +70,9 @@
 	if !slices.Contains(a.InSync, b.Primary) {
 		w.fail("epoch %d has a primary from outside: %+v after %+v", b.N, b, a)
 	}
+	if ids(a.Members) != ids(b.Members) && (ids(a.Prev) != ids(a.Members) || ids(b.Prev) != ids(a.Members)) {
+		w.fail("epoch %d changes members in one step: %+v after %+v", b.N, b, a)
+	}
 	for _, id := range b.InSync {
 		if !slices.ContainsFunc(b.Members, func(m helm.Member) bool { return m.ID == id }) {
 			w.fail("epoch %d: %s is in sync and no member", b.N, id)
@@ -85,6 +88,14 @@
 	}
 }
 
+func ids(ms []helm.Member) string {
+	s := ""
+	for _, m := range ms {
+		s += string(m.ID) + " "
+	}
+	return s
+}
+
 type place struct{ zone, region string }
 
 func placesOf(e helm.Epoch) []place {
--- a/helm/round.go
+++ b/helm/round.go
@@ -184,7 +184,7 @@
 	if n.plant.takeOutside {
 		here = union(here, []ID{n.id})
 	}
-	if n.plant.dropBelow || n.plant.takeOutside || n.meets(n.known.Members, here) {
+	if n.plant.dropBelow || n.meets(n.known.Members, here) {
 		return here
 	}
 	return n.known.InSync
--- a/helm/store.go
+++ b/helm/store.go
@@ -116,6 +116,10 @@
 	if !n.safe() {
 		return
 	}
+	if n.copy.Stamp.Less(n.committed.Stamp) {
+		n.broken("the copy %v of an active primary is older than what was committed, %v", n.copy.Stamp, n.committed.Stamp)
+		return
+	}
 	if n.committed.Stamp != n.copy.Stamp {
 		n.setCommitted(n.copy)
 		n.beat()
--- /dev/null
+++ b/lab/scale/tenders.go
@@ -0,0 +1,238 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"peathollow/ferry"
+	"peathollow/internal/settings"
+	"peathollow/roster"
+)
+
+// tenders are many, each with a board and a link of its own.
+type tenders struct {
+	all  []*hollowTender
+	tell func(Event)
+
+	mu      sync.Mutex
+	watches []*watch
+	merges  int
+	faults  int
+	first   string
+}
+
+// watch waits for a version, or for the drain of a searcher, to be known everywhere.
+type watch struct {
+	version uint64
+	id      string
+	at      []int64
+	knows   []bool
+}
+
+// hollowTender chooses its harbour as tender.Tender does, whose choice is private to it: if that changes, so must this.
+type hollowTender struct {
+	no    int
+	set   *settings.Settings
+	board *ferry.Board
+	since time.Time
+	gen   uint64
+}
+
+func startTenders(ctx context.Context, t Task, tell func(Event)) func(Order) {
+	ts := &tenders{tell: tell}
+	dice := rand.New(rand.NewPCG(t.Seed, 1))
+	zoned := regions()
+	for i := range t.Count {
+		zone := zones[dice.IntN(len(zones))]
+		s := &settings.Settings{Node: fmt.Sprintf("hollow-%04d", i), Zone: zone, Region: zoned[zone], Zones: zoned,
+			Seeds: t.News, BeatPeriod: t.Period}
+		life := fmt.Sprintf("tender/%s/%08x", s.Node, dice.Uint32())
+		ts.all = append(ts.all, &hollowTender{no: i, set: s,
+			board: ferry.NewBoard(roster.New(roster.Config{Name: life, Relay: true, Period: t.Period, Start: time.Now()}))})
+	}
+	var apart time.Duration // machines don't start in the same moment
+	if t.Count > 100 {
+		apart = 10 * time.Millisecond
+	}
+	go func() {
+		for _, h := range ts.all {
+			p := ferry.Puller{Board: h.board, Node: h.set.Node, Life: h.set.Node, Kind: "tender", Choose: h.choose, MoveOn: true,
+				Better: h.better, Merged: func() { ts.merged(h) }, Fault: ts.fault}
+			go p.Run(ctx)
+			go h.tick(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(apart):
+			}
+		}
+	}()
+	tell(Event{Kind: "ready"})
+	return ts.do
+}
+
+func (ts *tenders) do(o Order) {
+	switch o.Do {
+	case "watch":
+		w := &watch{version: o.Version, id: o.ID, knows: make([]bool, len(ts.all))}
+		ts.mu.Lock()
+		ts.watches = append(ts.watches, w)
+		ts.mu.Unlock()
+		for _, h := range ts.all { // it may be known already
+			ts.look(h, w)
+		}
+		ts.done()
+	case "flush":
+		ts.mu.Lock()
+		for _, w := range ts.watches {
+			ts.tell(Event{Kind: "known", Version: w.version, ID: w.id, At: w.at})
+		}
+		ts.watches = nil
+		ts.mu.Unlock()
+		ts.tell(Event{Kind: "flushed"})
+	case "tally":
+		least := -1
+		for _, h := range ts.all {
+			n := 0
+			h.board.With(func(r *roster.Roster) bool {
+				if n = r.Len(); !r.Complete() {
+					n = 0 // it may not be taken for the whole
+				}
+				return false
+			})
+			if least < 0 || n < least {
+				least = n
+			}
+		}
+		ts.mu.Lock()
+		t := &Tally{Merges: ts.merges, Faults: ts.faults, First: ts.first, Listed: max(least, 0)}
+		ts.mu.Unlock()
+		ts.tell(Event{Kind: "tally", Tally: t})
+	}
+}
+
+func (ts *tenders) fault(peer string, err error) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if ts.faults++; ts.first == "" {
+		ts.first = err.Error()
+	}
+}
+
+func (ts *tenders) merged(h *hollowTender) {
+	ts.mu.Lock()
+	ts.merges++
+	watches := slices.Clone(ts.watches)
+	ts.mu.Unlock()
+	if len(watches) == 0 {
+		return
+	}
+	for _, w := range watches {
+		ts.look(h, w)
+	}
+	ts.done()
+}
+
+// look notes when a tender first knows what is watched for.
+func (ts *tenders) look(h *hollowTender, w *watch) {
+	known := false
+	if w.id == "" {
+		doc := h.board.Document()
+		known = doc != nil && doc.Version >= w.version
+	} else {
+		h.board.With(func(r *roster.Roster) bool {
+			e, ok := r.Get(w.id)
+			known = ok && e.State >= roster.Draining
+			return false
+		})
+	}
+	if !known {
+		return
+	}
+	now := time.Now().UnixNano()
+	ts.mu.Lock()
+	if !w.knows[h.no] {
+		w.knows[h.no] = true
+		w.at = append(w.at, now)
+	}
+	ts.mu.Unlock()
+}
+
+// done tells of the watches that every tender has met.
+func (ts *tenders) done() {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.watches = slices.DeleteFunc(ts.watches, func(w *watch) bool {
+		all := len(w.at) == len(ts.all)
+		if all {
+			ts.tell(Event{Kind: "known", Version: w.version, ID: w.id, At: w.at})
+		}
+		return all
+	})
+}
+
+func (h *hollowTender) tick(ctx context.Context) {
+	k := time.NewTicker(h.set.BeatPeriod / 2)
+	defer k.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.C:
+			h.board.With(func(r *roster.Roster) bool { return r.Tick(time.Now()) })
+		}
+	}
+}
+
+func (h *hollowTender) choose(tried int) string {
+	h.since = time.Now()
+	places := slices.Clone(h.board.Core())
+	slices.SortFunc(places, func(a, b ferry.Place) int {
+		if d := h.set.Far(a.Zone) - h.set.Far(b.Zone); d != 0 {
+			return d
+		}
+		return int(int64(h.mark(a.Addr)) - int64(h.mark(b.Addr)))
+	})
+	var addrs []string
+	for _, p := range places {
+		addrs = append(addrs, p.Addr)
+	}
+	seeds := slices.Clone(h.set.Seeds)
+	slices.SortFunc(seeds, func(a, b string) int { return int(int64(h.mark(a)) - int64(h.mark(b))) })
+	for _, s := range seeds {
+		if !slices.Contains(addrs, s) {
+			addrs = append(addrs, s)
+		}
+	}
+	return addrs[tried%len(addrs)]
+}
+
+func (h *hollowTender) better(addr string) bool {
+	if time.Since(h.since) < 3*time.Second {
+		return false
+	}
+	now, best := 3, 3
+	for _, p := range h.board.Core() {
+		best = min(best, h.set.Far(p.Zone))
+		if p.Addr == addr {
+			now = h.set.Far(p.Zone)
+		}
+	}
+	if best < now {
+		h.since = time.Now()
+		return true
+	}
+	return false
+}
+
+func (h *hollowTender) mark(addr string) uint32 {
+	f := fnv.New32a()
+	f.Write([]byte(h.set.Node))
+	f.Write([]byte(addr))
+	return f.Sum32()
+}
