A few requests in hand say nothing of a jam where mixers are many

Ruled out: the benefit by rank (the same with one benefit for all). In service nothing changes: Few is 0 there.

--- a/brain/admit.go
+++ b/brain/admit.go
@@ -45,7 +45,7 @@
 	if m.known < knownLeast {
 		return lat
 	}
-	return max(lat, float64(m.out)/max(m.peak, eps))
+	return max(lat, (float64(m.out)-m.few*m.size.v)/max(m.peak, eps))
 }
 
 // wait is how long a scan would take that takes so many part latencies and is so many times as wide as
--- a/brain/state.go
+++ b/brain/state.go
@@ -182,6 +182,7 @@
 	tenants                           []bucket
 	let                               []float64 // see Let; empty where no fleet says anything
 	soonest                           bool
+	few                               float64
 	spare                             func(shard int) bool
 }
 
--- a/lab/scale/tenders.go
+++ b/lab/scale/tenders.go
@@ -40,7 +40,6 @@
 	set   *settings.Settings
 	board *ferry.Board
 	since time.Time
-	gen   uint64
 	calls uint64
 }
 
@@ -97,13 +96,12 @@
 		for _, h := range ts.all {
 			n := 0
 			h.board.With(func(r *roster.Roster) bool {
-				for e := range r.All() {
-					if !ferry.Reserved(e.Plant) {
-						n++
-					}
-				}
 				if !r.Complete() {
-					n = 0 // it may not be taken for the whole
+					return false // it may not be taken for the whole
+				}
+				n = r.Len()
+				for range r.Plant(ferry.MixerService) { // which are fewer to walk than the searchers
+					n--
 				}
 				return false
 			})
