--- a/attempt/state.go
+++ b/attempt/state.go
@@ -229,7 +229,7 @@
 	switch t.what {
 	case wake:
 		e.int(int(t.token))
-	case tooSlow, tooLate, back:
+	case tooSlow, tooLate, settled, back:
 		e.ref(t.p)
 		e.byte(byte(t.no))
 		e.byte(byte(t.end))
@@ -254,6 +254,8 @@
 	case tooLate:
 		y := &t.p.tries[t.no]
 		return !y.out || y.lane == nil || y.lane.ended || y.lane.conn.Ran(y.seq)
+	case settled:
+		return !t.p.tries[t.no].out
 	case sweep, report:
 		return true
 	}
--- a/cmd/peathollow/lab.go
+++ b/cmd/peathollow/lab.go
@@ -16,8 +16,7 @@
 
 // lab holds measurements that need processes of this program, and no system that serves.
 func lab() *cli.Command {
-	c := group("lab", "Measure the system on this machine", labScale(), labHollow())
-	return c
+	return group("lab", "Measure the system on this machine", labScale(), labHollow())
 }
 
 func labScale() *cli.Command {
@@ -69,9 +68,8 @@
 
 // labHollow is what scale starts; it is told what to be on standard input.
 func labHollow() *cli.Command {
-	c := leaf(&cli.Command{Name: "hollow", Usage: "A process of hollow tenders or searchers", Hidden: true}, 1, 1,
+	return leaf(&cli.Command{Name: "hollow", Usage: "A process of hollow tenders or searchers", Hidden: true}, 1, 1,
 		func(ctx context.Context, c *cli.Command) error {
 			return scale.Hollow(ctx, c.Args().First(), os.Stdin, os.Stdout)
 		})
-	return c
 }
--- a/ferry/pull.go
+++ b/ferry/pull.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-faster/errors"
 
-	"peathollow/internal/hail"
 	"peathollow/lookout"
 	"peathollow/manifest"
 	"peathollow/roster"
@@ -27,7 +26,7 @@
 	// silenceMost is how long an answer may take before the link is given up: well under the bounds within which a drain
 	// and a configuration must have arrived.
 	silenceMost = waitMost + 900*time.Millisecond
-	dialMost    = 700 * time.Millisecond
+	dialMost    = 450 * time.Millisecond
 	pauseLeast  = 50 * time.Millisecond
 	pauseMost   = 500 * time.Millisecond
 )
@@ -199,11 +198,11 @@
 func (p *Puller) Run(ctx context.Context) {
 	tried := 0
 	for ctx.Err() == nil {
-		addr := p.Choose(tried)
-		var err error
+		d, err := p.connect(ctx, tried)
+		tried += d.no
 		answered := false
-		if addr != "" {
-			answered, err = p.follow(ctx, addr)
+		if err == nil {
+			answered, err = p.follow(ctx, d.conn, d.addr)
 		}
 		if answered {
 			tried = 0
@@ -211,8 +210,8 @@
 				continue // for a better one
 			}
 		}
-		if err != nil && p.Fault != nil && ctx.Err() == nil {
-			p.Fault(addr, err)
+		if err != nil && p.Fault != nil && ctx.Err() == nil && !errors.Is(err, errUnreachable) {
+			p.Fault(d.addr, err)
 		}
 		tried++
 		select {
@@ -224,12 +223,7 @@
 
 var errAlone = errors.New("peer is out of touch with the core")
 
-func (p *Puller) follow(ctx context.Context, addr string) (answered bool, err error) {
-	d := hail.Dialer(dialMost, silenceMost)
-	c, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return false, errors.Wrapf(err, "dial, peer %s", addr)
-	}
+func (p *Puller) follow(ctx context.Context, c net.Conn, addr string) (answered bool, err error) {
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
--- a/harbour/harbour.go
+++ b/harbour/harbour.go
@@ -143,12 +143,13 @@
 			return
 		case <-t.C:
 		}
+		alone := h.alone()
 		h.board.With(func(r *roster.Roster) bool {
-			h.adopt(r)
-			revived := h.mind(r)
+			h.adopt(r, alone)
+			revived := h.mind(r, alone)
 			return r.Tick(time.Now()) || revived
 		})
-		h.board.SetAlone(h.alone())
+		h.board.SetAlone(alone)
 	}
 }
 
--- a/harbour/memory.go
+++ b/harbour/memory.go
@@ -85,14 +85,17 @@
 	}
 }
 
-// adopt minds the searchers of harbours' lives that are over; the roster's lock is held.
-func (h *Harbour) adopt(r *roster.Roster) {
+// adopt minds the entries of harbours' lives that are over; the roster's lock is held. One that is alone can't tell whose
+// life is over from who is beyond the cut, and what it called silent then would be told to all after it.
+func (h *Harbour) adopt(r *roster.Roster, alone bool) {
 	if time.Since(h.core.start) < 2*h.set.BeatPeriod {
 		return
 	}
 	live := h.lives()
 	for name := range r.Vector() {
-		if !live[name] {
+		if alone || live[name] {
+			r.Release(name)
+		} else {
 			r.Adopt(time.Now(), name)
 		}
 	}
--- a/harbour/mixers.go
+++ b/harbour/mixers.go
@@ -63,22 +63,21 @@
 
 // mind gives a beat to mixers that fall to this harbour and are to be taken for alive; the roster's lock is held. It
 // tells whether that made news.
-func (h *Harbour) mind(r *roster.Roster) (news bool) {
+func (h *Harbour) mind(r *roster.Roster, alone bool) (news bool) {
 	now := time.Now()
 	live := h.lives()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if gen := r.Generation(); gen != h.nodesAt {
 		h.nodesAt = gen
-		h.nodes = h.listed(r)
-		h.judge.Know(h.nodes)
+		h.know(r, h.listed(r))
 	}
 	var minded []lookout.Minded
 	for i := range h.nodes {
 		// Whose it is may change without the list's doing so.
 		if m, ok := ferry.GetMixer(r, h.nodes[i].Life); !ok {
 			continue
-		} else if m.Source == h.life || !live[m.Source] {
+		} else if m.Source == h.life || !alone && !live[m.Source] {
 			minded = append(minded, lookout.Minded{Life: m.Life, Silent: m.Silent, Leaving: m.Leaving})
 		}
 	}
@@ -111,6 +110,25 @@
 	return news
 }
 
+// know hands the judge a list that has changed, and notes who has fallen silent.
+func (h *Harbour) know(r *roster.Roster, nodes []lookout.Node) {
+	was := map[string]bool{}
+	for i := range h.nodes {
+		was[h.nodes[i].Life] = h.nodes[i].Silent
+	}
+	for i := range nodes {
+		n := &nodes[i]
+		if !n.Silent || n.Leaving || was[n.Life] {
+			continue
+		}
+		if m, _ := ferry.GetMixer(r, n.Life); m.Source == h.life { // the others say what they were told
+			h.log.Info().Str("event", "mixer-silent").Str("life", n.Life).Msg("")
+		}
+	}
+	h.nodes = nodes
+	h.judge.Know(nodes)
+}
+
 // listed is the list of mixers as lookout takes it.
 func (h *Harbour) listed(r *roster.Roster) []lookout.Node {
 	var nodes []lookout.Node
--- a/helm/helmsim/clients.go
+++ b/helm/helmsim/clients.go
@@ -58,7 +58,7 @@
 	c := &w.clients
 	v := c.top + 1
 	switch {
-	case w.o.Narrow:
+	case w.o.Story == Successors:
 		v = max(2, c.top+uint64(w.rnd.IntN(3))) - 1
 	case c.top > 0 && w.chance(0.25):
 		v = c.top
@@ -71,7 +71,7 @@
 
 func (w *World) begin(client int, read bool, d helm.Doc) *op {
 	o := &op{client: client, read: read, doc: d, from: w.now, floor: w.clients.acked, patience: giveUp}
-	if read {
+	if read && !w.o.Gentle {
 		o.patience = w.span(100*ms, giveUp)
 	}
 	w.clients.history = append(w.clients.history, o)
--- a/helm/helmsim/world.go
+++ b/helm/helmsim/world.go
@@ -19,7 +19,7 @@
 	Span                   time.Duration // of trouble, before the calm at the end
 	Gentle                 bool          // no trouble at all
 	Beyond                 bool          // losses know no tolerance: all may stand still then, but nothing untrue be told
-	Narrow                 bool          // primaries fall one after the other amid a document, clients send few versions often
+	Story                  Story         // in place of trouble drawn at large
 	Unmet                  bool          // the settings cannot be met: no acknowledgement may come
 	OnNew                  func(*helm.Node)
 	Bend                   Bend
--- a/lookout/load_test.go
+++ b/lookout/load_test.go
@@ -44,6 +44,11 @@
 				return errors.Wrapf(err, "harbour %s", h.name)
 			}
 		}
+		if h.alone { // it knows that it may not know
+			clear(h.dead)
+			clear(h.silent)
+			continue
+		}
 		if n := ferry.CountMixers(h.list, window); n != 0 && n < running && w.now.Sub(h.since) > 4*time.Second {
 			return errors.Errorf("%s counts %d mixers, %d run", h.name, n, running)
 		}
@@ -142,6 +147,13 @@
 		w.cuts[[2]string{m.machine, fmt.Sprint("c", h)}] = true
 	case k < 10:
 		clear(w.cuts)
+	case k == 11 && second%3 == 0:
+		for i := range w.harbours {
+			w.cuts[[2]string{fmt.Sprint("c", h), fmt.Sprint("c", i)}] = true
+		}
+		for _, m := range w.mixers {
+			w.cuts[[2]string{m.machine, fmt.Sprint("c", h)}] = true
+		}
 	case k == 10 && second%4 == 0:
 		if w.harbours[h].up = !w.harbours[h].up; w.harbours[h].up {
 			w.startCore(h)
--- a/quay/front.go
+++ b/quay/front.go
@@ -33,6 +33,11 @@
 		refuse(w, 500*time.Millisecond)
 		return
 	}
+	if headSize(r) > max(doc.Limits.HeaderBytes, 16<<10) {
+		h.Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := doc.Route(r.Host, path)
 	if route == nil || path == "" || path[0] != '/' {
@@ -97,6 +102,17 @@
 	}
 }
 
+// headSize is how long a request's head was, about: never more.
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, vs := range r.Header {
+		for _, v := range vs {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // readBody reads a request's body whole; a status other than 0 says what is wrong with it.
 func readBody(w http.ResponseWriter, r *http.Request, doc *manifest.Manifest) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
--- a/quay/quay.go
+++ b/quay/quay.go
@@ -23,6 +23,9 @@
 	"peathollow/roster"
 )
 
+// headMost bounds a client's head whatever the configuration says, which comes after the start and may change.
+const headMost = 256 << 10
+
 // Quay is one proxy.
 type Quay struct {
 	set   *settings.Settings
@@ -82,7 +85,7 @@
 	go p.Run(all)
 	rs := &http.Server{Handler: http.HandlerFunc(q.ready), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
 	go rs.Serve(ready)
-	fs := &http.Server{Handler: q, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 16 << 10,
+	fs := &http.Server{Handler: q, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: headMost,
 		DisableGeneralOptionsHandler: true}
 	ended := make(chan error, 1)
 	go func() { ended <- fs.Serve(front) }()
--- a/ration/ration.go
+++ b/ration/ration.go
@@ -12,7 +12,7 @@
 
 const (
 	// kept back from the share: requests are counted in slices here, and at the searchers later than at the mixer.
-	spareShare = 0.85
+	spareShare = 0.92
 	// One that has just started spends its slack anew while what it spent before still counts.
 	lives = 2
 	// unknownMixers is how many there are held to be until that is told.
@@ -35,8 +35,9 @@
 }
 
 type account struct {
-	asked, spent sliding.Window
-	used         time.Duration
+	asked tally
+	spent sliding.Window
+	used  time.Duration
 }
 
 // New makes the book of a mixer that has just started.
@@ -54,7 +55,7 @@
 // Asked counts a request that is to reach the service.
 func (b *Book) Asked(now time.Duration, service string) {
 	if a := b.account(now, service); a != nil {
-		a.asked.Add(now, b.terms.Window)
+		a.asked.add(now, b.terms.Window)
 	}
 }
 
@@ -64,7 +65,7 @@
 	if a == nil || b.terms.Window <= 0 {
 		return a != nil
 	}
-	room := spareShare*b.terms.Ratio*float64(a.asked.Low(now, b.terms.Window)) + b.terms.Slack/float64(lives*b.mixers)
+	room := spareShare*b.terms.Ratio*float64(a.asked.least(now, b.terms.Window)) + b.terms.Slack/float64(lives*b.mixers)
 	return float64(a.spent.High(now, b.terms.Window)+1) <= room
 }
 
--- /dev/null
+++ b/ration/tally.go
@@ -0,0 +1,56 @@
+package ration
+
+import "time"
+
+const (
+	slices = 32 // of a window
+	kept   = 2*slices + 1
+)
+
+// tally counts the requests of the last two windows, in slices.
+type tally struct {
+	n    [kept]int
+	last int64
+}
+
+func (t *tally) turn(now, window time.Duration) {
+	at := int64(now) / max(1, int64(window)/slices)
+	if at-t.last >= kept {
+		t.n = [kept]int{}
+		t.last = at
+	}
+	for t.last < at {
+		t.last++
+		t.n[t.last%kept] = 0
+	}
+}
+
+func (t *tally) add(now, window time.Duration) {
+	t.turn(now, window)
+	t.n[t.last%kept]++
+}
+
+// least is how many requests any window that holds this moment will be held against, at the least: those of the
+// window, of the one before or of the one half a window earlier, whichever are most.
+func (t *tally) least(now, window time.Duration) int {
+	t.turn(now, window)
+	var upto [kept + 1]int // upto[i] counts the i oldest slices
+	for i := range kept {
+		upto[i+1] = upto[i] + t.n[(t.last+1+int64(i))%kept]
+	}
+	// between counts slices that lie whole in the span, wherever in a slice that begins; kept-1 is the present one.
+	between := func(from, to int) int {
+		from, to = max(from+2, 0), min(to, kept)
+		if from >= to {
+			return 0
+		}
+		return upto[to] - upto[from]
+	}
+	low := upto[kept]
+	for ahead := range slices + 1 { // the window ends so many slices from now
+		end := kept + ahead
+		low = min(low, max(between(end-slices-1, end), between(end-slices*3/2-1, end-slices/2-1),
+			between(end-2*slices-1, end-slices-1)))
+	}
+	return low
+}
--- a/roster/beat.go
+++ b/roster/beat.go
@@ -122,6 +122,10 @@
 	r.adopted[name] = r.now
 }
 
+// Release ends an adoption: the source is heard again, and minds its entries itself. Else those that it hears and that
+// make no news would be called silent here for ever.
+func (r *Roster) Release(name string) { delete(r.adopted, name) }
+
 // Tick marks who has fallen silent and forgets what is long over. Call it several times in a
 // period: a longer gap means that this process didn't run, and that nobody could be heard. It
 // reports whether the list changed.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -102,6 +102,22 @@
 	must.NoError(t, a.Check())
 }
 
+// A source that was out of touch and is back minds its entries again, though they make no news.
+func TestReleased(t *testing.T) {
+	a, b := harbour("a"), harbour("b")
+	b.Beat(at(0), Searcher{ID: "i", Calls: 1})
+	pull(at(0), a, b)
+	must.Eq(t, "true ready false", state(a, "i"))
+	a.Adopt(at(10), "b")
+	run(a, 10, 12)
+	a.Release("b")
+	run(a, 12, 60)
+	must.Eq(t, "true ready false", state(a, "i"))
+	a.Adopt(at(60), "b")
+	run(a, 60, 64)
+	must.Eq(t, "true ready true", state(a, "i"))
+}
+
 func TestAddressTakenOver(t *testing.T) {
 	h := harbour("h")
 	h.Beat(at(0), Searcher{ID: "old", Address: "x", Calls: 9})
