--- a/attempt/state.go
+++ b/attempt/state.go
@@ -304,8 +304,15 @@
 	return h
 }
 
-// Outs walks the dispatches believed to be out on connections.
+// Outs walks the dispatches believed to be out: on connections, and on those that are gone but may have left them running.
 func (o *Life) Outs(yield func(c Conn, seq uint64, wire string)) {
+	for _, p := range o.book.parts {
+		for no := range p.tries {
+			if t := &p.tries[no]; t.out && t.lane != nil && t.lane.gone {
+				yield(t.lane.conn, t.seq, p.wire)
+			}
+		}
+	}
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
 			for p, no := range l.out {
