--- a/ferry/board.go
+++ b/ferry/board.go
@@ -26,6 +26,7 @@
 	doc     *manifest.Manifest
 	packed  []byte // doc, when somebody has needed it whole
 	earlier []*manifest.Manifest
+	patches map[uint64]*manifest.Patch // to doc, by the version they start from
 	core    []Place
 	coreSum uint64
 	mixers  int
@@ -82,7 +83,7 @@
 		b.earlier = append(b.earlier, b.doc)
 		b.earlier = b.earlier[max(0, len(b.earlier)-keptDocuments):]
 	}
-	b.doc, b.packed = m, nil
+	b.doc, b.packed, b.patches = m, nil, map[uint64]*manifest.Patch{}
 	b.tell()
 	return true
 }
@@ -165,8 +166,11 @@
 		some = true
 		c.Version = b.doc.Version
 		if i := slices.IndexFunc(b.earlier, func(m *manifest.Manifest) bool { return m.Version == a.Version }); i >= 0 && !a.Whole {
-			p := manifest.Delta(b.earlier[i], b.doc)
-			c.Patch = &p
+			if b.patches[a.Version] == nil {
+				p := manifest.Delta(b.earlier[i], b.doc)
+				b.patches[a.Version] = &p
+			}
+			c.Patch = b.patches[a.Version]
 		} else {
 			if b.packed == nil {
 				b.packed = manifest.Pack(b.doc.Raw)
--- a/ferry/pull.go
+++ b/ferry/pull.go
@@ -190,10 +190,16 @@
 	Better func(addr string) bool
 	// MoveOn has a server that is out of touch left for another.
 	MoveOn bool
+
+	lives map[string]string // the names that peers gave, by address
 }
 
+// livesMost bounds the peers whose names are kept.
+const livesMost = 64
+
 // Run pulls until ctx ends.
 func (p *Puller) Run(ctx context.Context) {
+	p.lives = map[string]string{}
 	tried := 0
 	for ctx.Err() == nil {
 		d, err := p.connect(ctx, tried)
@@ -227,12 +233,13 @@
 	defer stop()
 	in, w := gob.NewDecoder(bufio.NewReaderSize(c, 2048)), bufio.NewWriterSize(c, 2048)
 	out := gob.NewEncoder(w)
-	by, whole, alone := "", false, false
+	by, first, whole, alone := p.lives[addr], true, false, false
 	var mend *Mend
 	told := roster.Vector{}
 	mended := time.Now().Add(-mendEvery) // at the second ask, when what the vector tells has come
 	for {
-		a := p.ask(by, whole, alone)
+		a := p.ask(by, first, whole, alone)
+		first = false
 		a.Mend, a.Want.Have = mend, risen(a.Want.Have, told)
 		c.SetDeadline(time.Now().Add(silenceMost))
 		if err := out.Encode(&a); err != nil {
@@ -246,6 +253,10 @@
 			return answered, errors.Wrapf(err, "pull, peer %s", addr)
 		}
 		answered, by, alone = true, cargo.News.By, cargo.Alone
+		if len(p.lives) >= livesMost {
+			clear(p.lives)
+		}
+		p.lives[addr] = by // a link made anew goes on where this one ends
 		unfit := p.Board.take(&cargo, p.Peer, time.Now())
 		if unfit != nil && cargo.Whole != nil {
 			// It would be sent again with each answer.
@@ -281,10 +292,10 @@
 	return v
 }
 
-func (p *Puller) ask(by string, whole, alone bool) Ask {
+func (p *Puller) ask(by string, first, whole, alone bool) Ask {
 	a := Ask{Node: p.Node, Life: p.Life, IP: p.IP, Kind: p.Kind, Whole: whole, Alone: alone, Peer: p.Peer}
 	if p.Say != nil {
-		p.Say(&a, by == "")
+		p.Say(&a, first)
 	}
 	p.Board.mu.Lock()
 	defer p.Board.mu.Unlock()
--- a/mixer/wire_test.go
+++ b/mixer/wire_test.go
@@ -82,6 +82,8 @@
 			return 0, net.ErrClosed
 		case over(e.wd):
 			return 0, os.ErrDeadlineExceeded
+		case e.out.fin:
+			return 0, syscall.EPIPE
 		}
 		e.w.reset = true
 		e.w.moved.Broadcast()
@@ -158,36 +160,38 @@
 // that gives it up is read in time, or the connection is over.
 type sheet struct {
 	mu     sync.Mutex
-	out    map[string]map[*wireEnd]string
+	out    map[string]*running
 	copies []string
-	begun  int
-	again  int
+	again  int // dispatches of a part that went out before
 	seen   map[string]bool
 }
 
-func (s *sheet) begin(id string, at *wireEnd, name string) {
+// running is one dispatch at a searcher.
+type running struct {
+	id, at string
+	work   *time.Timer
+}
+
+func (s *sheet) begin(id, at string) *running {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.begun++
+	if r := s.out[id]; r != nil {
+		s.copies = append(s.copies, id+" at "+at+" while out at "+r.at)
+	}
 	if s.seen[id] {
 		s.again++
 	}
 	s.seen[id] = true
-	for other, where := range s.out[id] {
-		if other != at {
-			s.copies = append(s.copies, id+" at "+name+" while out at "+where)
-		}
-	}
-	if s.out[id] == nil {
-		s.out[id] = map[*wireEnd]string{}
-	}
-	s.out[id][at] = name
+	s.out[id] = &running{id: id, at: at}
+	return s.out[id]
 }
 
-func (s *sheet) end(id string, at *wireEnd) {
+func (s *sheet) end(r *running) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.out[id], at)
+	if s.out[r.id] == r {
+		delete(s.out, r.id)
+	}
 }
 
 // scripted serves one connection as the dice have it. Nothing is on its way for as long as most.
@@ -198,7 +202,7 @@
 	most  time.Duration
 	mu    sync.Mutex
 	dice  *rand.Rand
-	work  map[string]*time.Timer // stopped once it is given up
+	held  map[string]*running // what came on this connection last, by id
 }
 
 func (p *scripted) roll(n int) int {
@@ -218,19 +222,20 @@
 }
 
 func (p *scripted) serve() {
-	held := map[string]bool{}
 	defer func() {
-		for id := range held {
-			p.sheet.end(id, p.end)
+		for _, r := range p.held {
+			p.sheet.end(r)
 		}
 	}()
 	r := bufio.NewReader(p.end)
 	if p.roll(6) == 0 { // ends its side some time, and reads on for a moment
 		time.AfterFunc(time.Duration(p.roll(int(200*time.Millisecond))), func() {
+			dbg(p, "closes write", "")
 			p.end.CloseWrite()
 			time.AfterFunc(p.flight(), p.end.Reset)
 		})
 	}
+	defer func() { dbg(p, "serve ends", "") }()
 	for {
 		if p.roll(3) == 0 {
 			time.Sleep(p.flight()) // what was written waits unread
@@ -240,6 +245,7 @@
 			p.end.Close()
 			return
 		}
+		dbg(p, "reads", string(letter)+" "+string(rest))
 		switch letter {
 		case proto.LetterCall:
 			calls, err := proto.ReadCalls(rest, time.Now())
@@ -248,21 +254,16 @@
 				return
 			}
 			for _, k := range calls {
-				held[k.ID] = true
 				p.begin(k)
 			}
 			if p.roll(40) == 0 {
 				p.end.Reset()
 			}
 		case proto.LetterGiveUp:
-			id := string(rest)
-			p.mu.Lock()
-			t := p.work[id]
-			p.mu.Unlock()
-			if t != nil && t.Stop() { // else its answer is on its way
-				p.sheet.end(id, p.end)
+			if r := p.held[string(rest)]; r != nil && r.work.Stop() { // else its answer is on its way
+				p.sheet.end(r)
 				if p.roll(3) == 0 { // the work goes on, and is answered
-					t.Reset(time.Duration(p.roll(int(60 * time.Millisecond))))
+					r.work.Reset(time.Duration(p.roll(int(60 * time.Millisecond))))
 				}
 			}
 		case proto.LetterProbe:
@@ -272,16 +273,19 @@
 }
 
 func (p *scripted) begin(k proto.Call) {
-	p.sheet.begin(k.ID, p.end, p.name)
+	r := p.sheet.begin(k.ID, p.name)
+	p.held[k.ID] = r
 	end := []int{200, 200, 200, 500, 503}[p.roll(5)]
 	took := time.Duration(p.roll(int(80 * time.Millisecond)))
 	if end == 503 {
 		took = 0
 	}
 	say := proto.AppendAnswer(nil, k.ID, end, 1, "v")
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.work[k.ID] = time.AfterFunc(took, func() {
-		p.later(say, func() { p.sheet.end(k.ID, p.end) })
-	})
+	r.work = time.AfterFunc(took, func() { p.later(say, func() { p.sheet.end(r) }) })
+}
+
+var t0 = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func dbg(p *scripted, what, more string) {
+	println(time.Since(t0).Microseconds(), p.name, p.end, what, more)
 }
