--- a/attempt/explore/mutants.go
+++ b/attempt/explore/mutants.go
@@ -76,7 +76,7 @@
 	{"called off, and never told back", "attempt/send.go", "	case t.takeBack(p):\n		o.returnLater(p, no, brain.Stale)", "	case t.takeBack(p):", belief, small("replayable")},
 	{"a clock of its own", "attempt/life.go", "	o.now = now\n	o.m.At(now)", "	o.now = now\n	if now > 0 && time.Now().UnixMicro()%2 == 0 {\n		o.now += 1\n	}\n	o.m.At(now)", alike, small("replayable", "break")},
 	{"in doubt, and let go of without a word", "attempt/book.go", "			o.returnLater(p, no, t.lostAs())\n", "			t.out, p.live, t.srv.live = false, p.live-1, t.srv.live-1\n", toldAll, small("replayable", "mute")},
-	{"an answer of nobody's is looked up", "attempt/relay.go", "			o.behind(l, p)\n		}\n		return\n", "			o.behind(l, p)\n		}\n", noPanic, small("replayable", "stranger")},
+	{"an answer of nobody's is looked up", "attempt/relay.go", "			o.behind(l, q)\n		}\n		return\n", "			o.behind(l, q)\n		}\n", noPanic, small("replayable", "stranger")},
 	// The faults that the explorer found in the program, put back.
 	{"what a restart let go of is still counted", "attempt/life.go", "			clear(l.kills) // who hears", "			// who hears", givenBack, small("replayable", "panic")},
 	{"results of before a restart are still handed on", "attempt/life.go", "	o.ready, o.later, o.out, o.timers = nil, nil, nil, timers{}", "	o.later, o.out, o.timers = nil, nil, timers{}", givenBack, small("replayable", "panic").with(two)},
--- a/attempt/relay.go
+++ b/attempt/relay.go
@@ -25,8 +25,8 @@
 		// Late, or a second copy; or it was never asked here, and nothing on this connection can be trusted.
 		if !l.past.heard(a.ID) {
 			l.conn.Fail(errNeverAsked)
-		} else if p != nil {
-			o.behind(l, p)
+		} else if q := o.book.byWire[a.ID]; q != nil {
+			o.behind(l, q)
 		}
 		return
 	}
