--- a/attempt/explore/words.go
+++ b/attempt/explore/words.go
@@ -53,6 +53,12 @@
 				say(label{c, "answers", x, lateWords[end]}, func() { w.spend(); x.twice = true; c.hear(x, end, false) })
 			}
 		}
+		if x.state == queued && !c.taken && !c.shut && w.may(fStranger) {
+			say(label{c, "answers", x, ", which was not sent yet"}, func() {
+				w.spend()
+				w.life.Answered(c.l, proto.Answer{ID: x.wire, End: brain.Pass, Value: "nobody's"}, false)
+			})
+		}
 		if x.state == answered && !x.twice && w.may(fTwice) {
 			say(label{c, "answers", x, " again"}, func() { w.spend(); x.twice = true; c.hear(x, x.end, false) })
 		}
--- a/attempt/relay.go
+++ b/attempt/relay.go
@@ -30,14 +30,11 @@
 		}
 		return
 	}
-	// A quick searcher's answer is read before the write of its frame has returned, and counts. Not begun yet, it is an
-	// earlier one's: a second copy of an answer, as no part goes out where an answer under its id is due.
+	// A quick searcher's answer is read before the write of its frame has returned, and counts. Not begun yet, it was never
+	// asked here: what went out here before goes here no more, see mistakes.
 	if t := &p.tries[no]; !l.conn.Ran(t.seq) && !l.conn.Begun(t.seq) {
-		// A value counts all the same, and what waits is not to leave any more.
-		l.past.heard(a.ID)
-		if a.End != brain.Pass || !t.takeBack(p) {
-			return
-		}
+		l.conn.Fail(errNeverAsked)
+		return
 	}
 	// More than belongs to the answers that are due: the next part sent here would be lost to it. This answer counts.
 	if more && len(l.out) == 1 && !l.past.anyDue() {
--- a/attempt/route.go
+++ b/attempt/route.go
@@ -111,7 +111,7 @@
 // read that it was given up, and not that it says nothing of it any more, and an answer may come twice; such a word
 // would count this one as back while it runs, and the next would be a second copy.
 func (l *Lane) mistakes(p *part) bool {
-	if _, _, ok := l.namesake(p.wire); ok {
+	if _, _, ok := l.namesake(p.wire); ok || slices.ContainsFunc(p.tries, func(t try) bool { return t.lane == l }) {
 		return true
 	}
 	return slices.ContainsFunc(l.past.last, func(d dispatched) bool { return d.id == p.wire })
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,15 +21,15 @@
 // Limits are the sizes and times of a connection, and how it comes up.
 type Limits struct {
 	Dial    func(ctx context.Context, addr string) (net.Conn, error) // nil: TCP
-	Receipt time.Duration // for a searcher to say anything once it is asked for a receipt
-	Linger  time.Duration // for the searcher's end of a connection that this mixer has ended
-	Frame   int           // bytes of a frame from a searcher
-	Queue   int           // frames that wait to be written
-	Connect time.Duration // for a connection to come up
-	Write   time.Duration // for the searcher to take what is written
-	Rest    time.Duration // for a frame from a searcher that has begun
-	Word    int           // bytes of the answer to a probe
-	Keep    int           // bytes of a buffer that are kept for the next frame
+	Receipt time.Duration                                            // for a searcher to say anything once it is asked for a receipt
+	Linger  time.Duration                                            // for the searcher's end of a connection that this mixer has ended
+	Frame   int                                                      // bytes of a frame from a searcher
+	Queue   int                                                      // frames that wait to be written
+	Connect time.Duration                                            // for a connection to come up
+	Write   time.Duration                                            // for the searcher to take what is written
+	Rest    time.Duration                                            // for a frame from a searcher that has begun
+	Word    int                                                      // bytes of the answer to a probe
+	Keep    int                                                      // bytes of a buffer that are kept for the next frame
 }
 
 // Events are told from the connection's own goroutines: Answered and Told as they happen, then Closing once, when
