--- a/internal/mooring/pool_test.go
+++ b/internal/mooring/pool_test.go
@@ -19,6 +19,9 @@
 )
 
 // setup starts a rude searcher and a pool to it.
+// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
 func setup(t *testing.T, ro rude.Options, o Options) (*rude.Server, *Pool) {
 	s, err := rude.Start(ro)
 	must.NoError(t, err)
