--- a/attempt/book.go
+++ b/attempt/book.go
@@ -162,18 +162,6 @@
 	o.later = append(o.later, task{what: back, p: p, no: int32(no), end: end})
 }
 
-// settles books an end that a searcher told of, of a dispatch that may have run. Nothing orders two ways: what else it
-// had on its way, such as its answer to the very part, or what it has yet to read on a connection it says no more on, may
-// come behind that word, and so may its own knowledge that this is over. Where the part may go elsewhere and copies are
-// barred, it waits till that has come; an answer still counts meanwhile.
-func (o *Life) settles(p *part, no int, end brain.Outcome) {
-	if !o.single(p) || o.lim.Settle <= 0 {
-		o.returned(p, no, end)
-		return
-	}
-	o.timers.add(o.now+o.lim.Settle, task{what: settled, p: p, no: int32(no), end: end})
-}
-
 // returned books how a dispatch ended and tells the module.
 func (o *Life) returned(p *part, no int, end brain.Outcome) {
 	t := &p.tries[no]
--- a/attempt/life.go
+++ b/attempt/life.go
@@ -15,7 +15,6 @@
 	Lanes       int           // connections to all searchers together
 	Parts       int           // parts that one connection carries at once
 	Past        int           // parts no longer out whose answers a connection still knows
-	Settle      time.Duration // for what is on its way when a searcher's word of an end comes
 	LaneIdle    time.Duration // ahead of the time after which a searcher closes
 	LogEvery    time.Duration // between tallies
 }
@@ -38,19 +37,11 @@
 	Ask() // for the list
 	Lost(searcher string, parts int, why error)
 	InDoubt(searcher string, parts int)
-	Behind(b Behind) // nothing to decide on: for the log
 	Listed(l proto.List)
 	Silent() // the list can't be had
 	Tally(t Tally)
 }
 
-// Behind is an answer to a dispatch that counts as back already, to a part still in hand.
-type Behind struct {
-	Searcher, Part string
-	Ago            time.Duration // since it was sent
-	Out            string        // the searcher where another dispatch of the part is out; empty: nowhere
-}
-
 // Kind is how a scan ended.
 type Kind uint8
 
--- a/attempt/relay.go
+++ b/attempt/relay.go
@@ -25,14 +25,12 @@
 		// Late, or a second copy; or it was never asked here, and nothing on this connection can be trusted.
 		if !l.past.heard(a.ID) {
 			l.conn.Fail(errNeverAsked)
-		} else if q := o.book.byWire[a.ID]; q != nil {
-			o.behind(l, q)
 		}
 		return
 	}
-	// A quick searcher's answer is read before the write of its frame has returned, and counts. Not begun yet, it is not the
-	// answer to that: what went out here before under the id goes here no more, see mistakes.
-	if t := &p.tries[no]; !l.conn.Ran(t.seq) && !l.conn.Begun(t.seq) {
+	// A quick searcher's answer is read before the write of its frame has returned, and counts. But not written yet and
+	// not begun, or with the end of an earlier dispatch due here that was given up without a receipt, it is that one's.
+	if t := &p.tries[no]; !l.conn.Ran(t.seq) && (!l.conn.Begun(t.seq) || a.End != brain.Pass && l.past.due(a.ID)) {
 		// A value counts all the same, and what waits is not to leave any more.
 		l.past.heard(a.ID)
 		if a.End != brain.Pass || !t.takeBack(p) {
@@ -54,31 +52,9 @@
 		p.in, p.value, p.score = true, a.Value, a.Score
 		o.book.open--
 	}
-	if a.End == brain.Fault { // it may have run, and goes again
-		o.settles(p, no, a.End)
-		return
-	}
 	o.returned(p, no, a.End)
 }
 
-// behind tells of an answer to a dispatch that counts as back. Where its part is out again that is how a second copy
-// looks from here: the one line that names it.
-func (o *Life) behind(l *Lane, p *part) {
-	if p.over || p.in {
-		return
-	}
-	b := Behind{Searcher: l.s.host.Name, Part: p.wire}
-	for i := range p.tries {
-		switch t := &p.tries[i]; {
-		case t.lane == l:
-			b.Ago = o.now - t.at
-		case t.out:
-			b.Out = t.srv.host.Name
-		}
-	}
-	o.port.Behind(b)
-}
-
 var errNeverAsked = errors.New("answer to a part never asked on this connection")
 
 // Closing ends what was out on a connection that takes and believes nothing more: what was not written whole never
@@ -109,10 +85,10 @@
 	l.gone = true
 	for _, p := range l.held() {
 		if no := l.out[p]; heard || !o.single(p) {
-			o.settles(p, no, p.tries[no].lostAs())
+			o.returned(p, no, p.tries[no].lostAs())
 		}
 	}
-	if n := len(l.out); n > 0 && !heard {
+	if n := len(l.out); n > 0 {
 		o.book.tally.Doubt += n
 		o.port.InDoubt(l.s.host.Name, n)
 	}
--- a/attempt/route.go
+++ b/attempt/route.go
@@ -81,6 +81,11 @@
 	return i >= 0
 }
 
+// due tells that an answer under this id is yet to come to what went out here before.
+func (p *past) due(id string) bool {
+	return slices.ContainsFunc(p.last, func(d dispatched) bool { return d.due && d.id == id })
+}
+
 func (p *past) anyDue() bool {
 	return slices.ContainsFunc(p.last, func(d dispatched) bool { return d.due })
 }
@@ -106,15 +111,15 @@
 	return nil, 0, false
 }
 
-// mistakes tells that an answer which is still to come here, under the same id, would be taken for the answer to this
-// dispatch: to an earlier request, or to an earlier dispatch of the part itself. A receipt proves that a searcher has
-// read that it was given up, and not that it says nothing of it any more, and an answer may come twice; such a word
-// would count this one as back while it runs, and the next would be a second copy.
+// mistakes tells that an answer which is still to come here, to an earlier request of the same id, would be taken for
+// the answer to this part.
 func (l *Lane) mistakes(p *part) bool {
-	if _, _, ok := l.namesake(p.wire); ok || slices.ContainsFunc(p.tries, func(t try) bool { return t.lane == l }) {
+	if q, _, ok := l.namesake(p.wire); ok && q.scan != p.scan {
 		return true
 	}
-	return slices.ContainsFunc(l.past.last, func(d dispatched) bool { return d.id == p.wire })
+	return slices.ContainsFunc(l.past.last, func(d dispatched) bool {
+		return d.due && d.id == p.wire && d.scan != p.scan.id
+	})
 }
 
 // retire lets a connection take nothing new, and closes it once it is empty.
--- a/attempt/send.go
+++ b/attempt/send.go
@@ -185,7 +185,7 @@
 		k, ok := l.kills[seq]
 		delete(l.kills, seq)
 		if ok && k.p.tries[k.no].out {
-			o.settles(k.p, k.no, k.p.tries[k.no].end)
+			o.returned(k.p, k.no, k.p.tries[k.no].end)
 		}
 	}
 }
--- a/attempt/state.go
+++ b/attempt/state.go
@@ -147,10 +147,7 @@
 		if p, no, ok := l.namesake(d.id); ok {
 			seq = p.tries[no].seq
 		}
-		// A part that may go again does not go here: see mistakes.
-		p := e.o.book.byWire[d.id]
-		again := p != nil && !p.over && !p.in && !l.retired
-		return !again && !e.n.Past(l.conn, d.id, seq, d.due)
+		return !e.n.Past(l.conn, d.id, seq, d.due)
 	})
 	if len(l.past.last) < e.o.lim.Past {
 		slices.SortFunc(last, func(x, y dispatched) int {
@@ -232,7 +229,7 @@
 	switch t.what {
 	case wake:
 		e.int(int(t.token))
-	case tooSlow, tooLate, settled, back:
+	case tooSlow, tooLate, back:
 		e.ref(t.p)
 		e.byte(byte(t.no))
 		e.byte(byte(t.end))
@@ -257,8 +254,6 @@
 	case tooLate:
 		y := &t.p.tries[t.no]
 		return !y.out || y.lane == nil || y.lane.ended || y.lane.conn.Ran(y.seq)
-	case settled:
-		return !t.p.tries[t.no].out
 	case sweep, report:
 		return true
 	}
@@ -307,15 +302,8 @@
 	return h
 }
 
-// Outs walks the dispatches believed to be out: on connections, and on those that are gone but may have left them running.
+// Outs walks the dispatches believed to be out on connections.
 func (o *Life) Outs(yield func(c Conn, seq uint64, wire string)) {
-	for _, p := range o.book.parts {
-		for no := range p.tries {
-			if t := &p.tries[no]; t.out && t.lane != nil && t.lane.gone {
-				yield(t.lane.conn, t.seq, p.wire)
-			}
-		}
-	}
 	for _, s := range o.fleet.srvs {
 		for _, l := range s.lanes {
 			for p, no := range l.out {
--- a/attempt/timers.go
+++ b/attempt/timers.go
@@ -23,7 +23,6 @@
 	wake     work = iota // the module, with its token
 	tooSlow              // give up a dispatch whose time is over
 	tooLate              // keep a keyed part from leaving outside its window
-	settled              // what was on its way with the word of a dispatch's end has come
 	back                 // a dispatch that ended within the batch before
 	goOn                 // to the second step
 	sweep                // connections that lie idle
@@ -39,7 +38,7 @@
 		o.giveUp(t.p, int(t.no), brain.TooSlow)
 	case tooLate:
 		o.overWindow(t.p, int(t.no))
-	case settled, back:
+	case back:
 		o.returned(t.p, int(t.no), t.end)
 	case goOn:
 		o.goOn(t.s)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -18,18 +18,17 @@
 	"peathollow/internal/proto"
 )
 
-// Limits are the sizes and times of a connection, and how it comes up.
+// Limits are the sizes and times of a connection.
 type Limits struct {
-	Dial    func(ctx context.Context, addr string) (net.Conn, error) // nil: TCP
-	Receipt time.Duration                                            // for a searcher to say anything once it is asked for a receipt
-	Linger  time.Duration                                            // for the searcher's end of a connection that this mixer has ended
-	Frame   int                                                      // bytes of a frame from a searcher
-	Queue   int                                                      // frames that wait to be written
-	Connect time.Duration                                            // for a connection to come up
-	Write   time.Duration                                            // for the searcher to take what is written
-	Rest    time.Duration                                            // for a frame from a searcher that has begun
-	Word    int                                                      // bytes of the answer to a probe
-	Keep    int                                                      // bytes of a buffer that are kept for the next frame
+	Receipt time.Duration // for a searcher to say anything once it is asked for a receipt
+	Linger  time.Duration // for the searcher's end of a connection that this mixer has ended
+	Frame   int           // bytes of a frame from a searcher
+	Queue   int           // frames that wait to be written
+	Connect time.Duration // for a connection to come up
+	Write   time.Duration // for the searcher to take what is written
+	Rest    time.Duration // for a frame from a searcher that has begun
+	Word    int           // bytes of the answer to a probe
+	Keep    int           // bytes of a buffer that are kept for the next frame
 }
 
 // Events are told from the connection's own goroutines: Answered and Told as they happen, then Closing once, when
@@ -161,14 +160,8 @@
 }
 
 func (c *Conn) run(ctx context.Context) {
-	dial := c.lim.Dial
-	if dial == nil {
-		dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			d := net.Dialer{Timeout: c.lim.Connect, KeepAlive: -1}
-			return d.DialContext(ctx, "tcp", addr)
-		}
-	}
-	nc, err := dial(ctx, c.addr)
+	d := net.Dialer{Timeout: c.lim.Connect, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
 		c.end(ctx, fmt.Errorf("connect: %w", err))
 		c.ev.Closed(c, true)
@@ -217,7 +210,7 @@
 // it: it may yet read what was written here, after what went out elsewhere. Where all is ended at once, nothing
 // goes out any more and nobody waits.
 func (c *Conn) linger(nc net.Conn) bool {
-	tc, ok := nc.(interface{ CloseWrite() error })
+	tc, ok := nc.(*net.TCPConn)
 	if !ok || tc.CloseWrite() != nil || nc.SetReadDeadline(time.Now().Add(c.lim.Linger)) != nil {
 		return false
 	}
--- a/mixer/gate.go
+++ b/mixer/gate.go
@@ -32,7 +32,6 @@
 	heads *heads
 	state http.ConnState
 	since time.Time
-	shut  bool // it made room
 }
 
 func (c *client) Read(b []byte) (int, error) {
@@ -70,7 +69,6 @@
 	for len(g.conns) >= g.most && !g.shut {
 		if c := g.worst(time.Now()); c != nil {
 			delete(g.conns, c)
-			c.shut = true
 			c.Close()
 			continue
 		}
@@ -106,11 +104,6 @@
 	return worst
 }
 
-// What was read of a connection just before that made room: its client finds it closed without an answer, takes the
-// request for one not read, and sends it once more under the same id, perhaps to another mixer. Against a second copy
-// of what would be sent out for the first.
-var errMadeRoom = errors.New("the connection made room for another")
-
 var errTwoLengths = errors.New("a head tells both Content-Length and Transfer-Encoding, or can't be followed")
 
 // pass is asked for each request before anything else. net/http calls one that was sent behind another an idle
@@ -120,22 +113,13 @@
 	if !ok {
 		return nil
 	}
-	// From here on it makes no room any more: that is decided under the same lock.
-	if g.state(c, http.StateActive); g.madeRoom(c) {
-		return errMadeRoom
-	}
+	g.state(c, http.StateActive)
 	if !c.heads.next() {
 		return errTwoLengths
 	}
 	return nil
 }
 
-func (g *gate) madeRoom(c *client) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return c.shut
-}
-
 func (g *gate) Close() error {
 	g.mu.Lock()
 	g.shut = true
--- a/mixer/owner.go
+++ b/mixer/owner.go
@@ -127,11 +127,6 @@
 	p.o.log.Warn("no word of what was out", zap.String("searcher", searcher), zap.Int("parts", parts))
 }
 
-func (p outside) Behind(b attempt.Behind) {
-	p.o.log.Warn("answer to a part that counted as back", zap.String("searcher", b.Searcher), zap.String("part", b.Part),
-		zap.Duration("sent", b.Ago), zap.String("out", b.Out))
-}
-
 func (p outside) Listed(l proto.List) {
 	p.o.log.Info("list", zap.Int64("version", l.Version), zap.Bool("whole", l.Whole), zap.Int("entries", len(l.Hosts)))
 	if p.o.targets != nil {
