One accept loop, one choice of harbour, one place that sets a board's core and count

The loop that takes connections stood three times (ferry, harbour mail and calls): hail.Accept. lab/scale had a copy of tender's choice of harbour: tender.Choice. Board.take had the checks of SetCore and SetMixers again. quay.leave slept in steps, and had two returns of the same. Behaviour stays but for two things: passed-on calls are closed as well when the process ends, and the debug line of a failed dispatch, which was shown at trace level only, is shown at debug.

--- a/ferry/board.go
+++ b/ferry/board.go
@@ -99,12 +99,19 @@
 func (b *Board) SetCore(core []Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(core) > 0 && !slices.Equal(b.core, core) {
-		b.core, b.coreSum = slices.Clone(core), digest(core)
+	if b.setCore(core) {
 		b.tell()
 	}
 }
 
+func (b *Board) setCore(core []Place) (changed bool) {
+	if len(core) == 0 || slices.Equal(b.core, core) {
+		return false
+	}
+	b.core, b.coreSum = slices.Clone(core), digest(core)
+	return true
+}
+
 // Mixers is how many mixers run, 0 while that isn't known. A tender counts them, for its quay.
 func (b *Board) Mixers() int {
 	b.mu.Lock()
@@ -116,12 +123,19 @@
 func (b *Board) SetMixers(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > 0 && n != b.mixers {
-		b.mixers = n
+	if b.setMixers(n) {
 		b.tell()
 	}
 }
 
+func (b *Board) setMixers(n int) (changed bool) {
+	if n <= 0 || n == b.mixers {
+		return false
+	}
+	b.mixers = n
+	return true
+}
+
 // SetAlone tells that this process is out of touch with most of the core: who pulls here had better move on.
 func (b *Board) SetAlone(alone bool) {
 	b.mu.Lock()
@@ -202,11 +216,9 @@
 	if m != nil && err == nil {
 		b.put(m)
 	}
-	if !peer && len(c.Core) > 0 && !slices.Equal(b.core, c.Core) {
-		b.core, b.coreSum, changed = c.Core, digest(c.Core), true
-	}
-	if !peer && c.Mixers > 0 && c.Mixers != b.mixers {
-		b.mixers, changed = c.Mixers, true
+	if !peer {
+		changed = b.setCore(c.Core) || changed
+		changed = b.setMixers(c.Mixers) || changed
 	}
 	if changed || !c.News.Empty() {
 		b.tell()
--- a/ferry/pull.go
+++ b/ferry/pull.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"peathollow/internal/hail"
 	"peathollow/lookout"
 	"peathollow/manifest"
 	"peathollow/roster"
@@ -79,33 +80,12 @@
 	Left func(a *Ask)
 }
 
-// Serve accepts links until ctx ends.
+// Serve answers links until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	defer stop()
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return errors.Wrap(err, "accept")
-			}
-			select { // out of descriptors, or the like
-			case <-ctx.Done():
-			case <-time.After(pauseLeast):
-			}
-			continue
-		}
-		go s.link(ctx, c)
-	}
+	return hail.Accept(ctx, ln, func(c net.Conn) { s.link(ctx, c) })
 }
 
 func (s *Server) link(ctx context.Context, c net.Conn) {
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
 	in, w := gob.NewDecoder(bufio.NewReaderSize(c, 2048)), bufio.NewWriterSize(c, 2048)
 	out := gob.NewEncoder(w)
 	met := false
--- a/harbour/calls.go
+++ b/harbour/calls.go
@@ -73,30 +73,17 @@
 
 // serveCalls does what other harbours pass on.
 func (h *Harbour) serveCalls(ctx context.Context, ln net.Listener) {
-	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	defer stop()
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
-			continue
+	hail.Accept(ctx, ln, func(c net.Conn) {
+		c.SetDeadline(time.Now().Add(3 * time.Second))
+		var x Call
+		if gob.NewDecoder(c).Decode(&x) != nil {
+			return
 		}
-		go func() {
-			defer c.Close()
-			c.SetDeadline(time.Now().Add(3 * time.Second))
-			var x Call
-			if gob.NewDecoder(c).Decode(&x) != nil {
-				return
-			}
-			in, stop := context.WithTimeout(ctx, min(max(x.Until-20*time.Millisecond, time.Millisecond), callMost))
-			defer stop()
-			a, err := h.core.ask(in, call{read: x.Read, doc: x.Doc})
-			if err == nil {
-				gob.NewEncoder(c).Encode(&a)
-			}
-		}()
-	}
+		in, stop := context.WithTimeout(ctx, min(max(x.Until-20*time.Millisecond, time.Millisecond), callMost))
+		defer stop()
+		a, err := h.core.ask(in, call{read: x.Read, doc: x.Doc})
+		if err == nil {
+			gob.NewEncoder(c).Encode(&a)
+		}
+	})
 }
--- a/harbour/mail.go
+++ b/harbour/mail.go
@@ -104,34 +104,19 @@
 
 // receive takes messages from peers until ctx ends.
 func receive(ctx context.Context, ln net.Listener, to chan<- helm.Message) {
-	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	defer stop()
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
+	hail.Accept(ctx, ln, func(c net.Conn) {
+		in := gob.NewDecoder(bufio.NewReaderSize(c, 4096))
+		for {
+			var x helm.Message
+			c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if in.Decode(&x) != nil {
 				return
 			}
-			time.Sleep(50 * time.Millisecond)
-			continue
-		}
-		go func() {
-			defer c.Close()
-			stop := context.AfterFunc(ctx, func() { c.Close() })
-			defer stop()
-			in := gob.NewDecoder(bufio.NewReaderSize(c, 4096))
-			for {
-				var x helm.Message
-				c.SetReadDeadline(time.Now().Add(10 * time.Second))
-				if in.Decode(&x) != nil {
-					return
-				}
-				select {
-				case to <- x:
-				case <-ctx.Done():
-					return
-				}
+			select {
+			case to <- x:
+			case <-ctx.Done():
+				return
 			}
-		}()
-	}
+		}
+	})
 }
--- a/lab/scale/tenders.go
+++ b/lab/scale/tenders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,6 +11,7 @@
 	"peathollow/ferry"
 	"peathollow/internal/settings"
 	"peathollow/roster"
+	"peathollow/tender"
 )
 
 // tenders are many, each with a board and a link of its own.
@@ -34,12 +34,11 @@
 	knows   []bool
 }
 
-// hollowTender chooses its harbour as tender.Tender does, whose choice is private to it: if that changes, so must this.
+// hollowTender pulls as tender.Tender does, and serves nobody.
 type hollowTender struct {
 	no    int
 	set   *settings.Settings
 	board *ferry.Board
-	since time.Time
 	calls uint64
 }
 
@@ -57,8 +56,9 @@
 	}
 	go func() {
 		for _, h := range ts.all {
-			p := ferry.Puller{Board: h.board, Node: h.set.Node, Life: h.set.Node, Kind: "tender", Choose: h.choose, MoveOn: true,
-				Better: h.better, Merged: func() { ts.merged(h) }, Fault: ts.fault, Say: h.say}
+			choice := tender.Choice{Set: h.set, Board: h.board, Seeds: h.set.Seeds} // told by where they serve news
+			p := ferry.Puller{Board: h.board, Node: h.set.Node, Life: h.set.Node, Kind: "tender", Choose: choice.Choose, MoveOn: true,
+				Better: choice.Better, Merged: func() { ts.merged(h) }, Fault: ts.fault, Say: h.say}
 			go p.Run(ctx)
 			go h.tick(ctx)
 			select {
@@ -197,51 +197,3 @@
 	h.calls += 1000 // a harbour may go on from it in our name
 	a.Mixer = &ferry.Pulse{Calls: h.calls}
 }
-
-func (h *hollowTender) choose(tried int) string {
-	h.since = time.Now()
-	places := slices.Clone(h.board.Core())
-	slices.SortFunc(places, func(a, b ferry.Place) int {
-		if d := h.set.Far(a.Zone) - h.set.Far(b.Zone); d != 0 {
-			return d
-		}
-		return int(int64(h.mark(a.Addr)) - int64(h.mark(b.Addr)))
-	})
-	var addrs []string
-	for _, p := range places {
-		addrs = append(addrs, p.Addr)
-	}
-	seeds := slices.Clone(h.set.Seeds)
-	slices.SortFunc(seeds, func(a, b string) int { return int(int64(h.mark(a)) - int64(h.mark(b))) })
-	for _, s := range seeds {
-		if !slices.Contains(addrs, s) {
-			addrs = append(addrs, s)
-		}
-	}
-	return addrs[tried%len(addrs)]
-}
-
-func (h *hollowTender) better(addr string) bool {
-	if time.Since(h.since) < 3*time.Second {
-		return false
-	}
-	now, best := 3, 3
-	for _, p := range h.board.Core() {
-		best = min(best, h.set.Far(p.Zone))
-		if p.Addr == addr {
-			now = h.set.Far(p.Zone)
-		}
-	}
-	if best < now {
-		h.since = time.Now()
-		return true
-	}
-	return false
-}
-
-func (h *hollowTender) mark(addr string) uint32 {
-	f := fnv.New32a()
-	f.Write([]byte(h.set.Node))
-	f.Write([]byte(addr))
-	return f.Sum32()
-}
--- a/quay/quay.go
+++ b/quay/quay.go
@@ -99,30 +99,25 @@
 		case <-tally.C:
 			q.tally()
 		case <-ctx.Done():
-			return q.leave(fs)
+			q.leave(fs)
+			return nil
 		}
 	}
 }
 
 // leave goes on serving until the platform has stopped sending new connections, then until nothing is in hand.
-func (q *Quay) leave(fs *http.Server) error {
+func (q *Quay) leave(fs *http.Server) {
 	q.leaving.Store(true)
 	began := time.Now()
 	q.log.Info().Str("event", "leaving").Int("in-hand", q.inHand()).Msg("")
 	last := q.set.Grace - 800*time.Millisecond
 	least := min(q.set.Grace/2, 3500*time.Millisecond)
-	for time.Since(began) < least {
-		time.Sleep(50 * time.Millisecond)
-	}
+	time.Sleep(least)
 	ctx, stop := context.WithTimeout(context.Background(), max(time.Millisecond, last-time.Since(began)))
 	defer stop()
-	err := fs.Shutdown(ctx)
+	fs.Shutdown(ctx) // what is left after it is ended with the process
 	q.tally()
 	q.log.Info().Str("event", "left").Int("in-hand", q.inHand()).Msg("")
-	if err != nil {
-		return nil // what is left is ended with the process
-	}
-	return nil
 }
 
 func (q *Quay) inHand() int {
--- a/quay/send.go
+++ b/quay/send.go
@@ -68,7 +68,7 @@
 	s := d.Call.(*sending)
 	a := s.pool.Do(&s.call)
 	out := outcome(&a, d)
-	if a.Outcome != mooring.Answered && q.log.Level <= 1 {
+	if a.Outcome != mooring.Answered {
 		q.log.Debug().Str("event", "sent").Str("searcher", d.Host.ID).Str("outcome", a.Outcome.String()).Int("status", a.Status).
 			Err(a.Err).Msg("")
 	}
