--- a/quay/order_test.go
+++ b/quay/order_test.go
@@ -43,6 +43,25 @@
 	r.Judge()
 }
 
+// TestListChangesUnderADispatch: what the list says of a searcher changes while a dispatch is out there, which then ends
+// by its time. Under the race detector it shows whether the end is told without the lock.
+func TestListChangesUnderADispatch(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief)
+	hold, at := make(chan struct{}), make(chan bool, 9)
+	s := r.Searcher("s", rude.Options{Script: func(rude.Call) rude.Reply { at <- true; return rude.Reply{Hold: hold} }})
+	defer close(hold)
+	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
+	c := r.Dial()
+	defer c.Close()
+	c.Send(rig.Request{Path: "/", DeadlineMs: 700})
+	<-at
+	r.Tell("s", s.ID(), s.Addr(), roster.Draining)
+	r.Sync()
+	must.Eq(t, 504, c.Read().Status)
+	r.Judge()
+}
+
 // TestConfig: a version is in force for all requests that come after it, the version never goes back, and what is in
 // hand ends as its own version has it.
 func TestConfig(t *testing.T) {
--- a/quay/send.go
+++ b/quay/send.go
@@ -69,7 +69,7 @@
 	a := s.pool.Do(&s.call)
 	out := outcome(&a, d)
 	if a.Outcome != mooring.Answered {
-		q.log.Debug().Str("event", "sent").Str("searcher", d.Host.ID).Str("outcome", a.Outcome.String()).Int("status", a.Status).
+		q.log.Debug().Str("event", "sent").Str("searcher", s.call.Target).Str("outcome", a.Outcome.String()).Int("status", a.Status).
 			Err(a.Err).Msg("")
 	}
 	q.do(func() {
