Failed requests and refused calls are explained in the log; figures served at 'metrics'; invariants in the running code

Cause: a request that ended 502, 503 or 504 left no line at the default level, and controllers logged no refused call.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,6 +10,8 @@
 	"github.com/phuslu/log"
 
 	"peathollow/distribution"
+	"peathollow/internal/figures"
+	"peathollow/internal/keepalive"
 	"peathollow/internal/settings"
 	"peathollow/proxy"
 	"peathollow/registry"
@@ -24,6 +26,7 @@
 	heart *heart
 
 	leaving atomic.Bool
+	link    link
 }
 
 // New makes an agent from what it is told.
@@ -47,10 +50,12 @@
 		t.log.Error().Str("event", "heartbeats").Err(err).Msg("")
 	}
 	go t.heart.run(all)
+	go figures.ServeFor(all, t.log, t.set.IP, t.set.Metrics, t.figures)
 	choice := Choice{Set: t.set, Board: t.board, Seeds: seedNews(t.set)}
 	p := distribution.Puller{Board: t.board, Node: t.set.Node, Life: t.life, Kind: "agent", Choose: choice.Choose, MoveOn: true, Better: choice.Better,
-		Say: t.heart.say,
+		Say: t.heart.say, Answered: t.link.answered, Network: keepalive.TCP{Relay: t.set.Relay, From: t.set.Node},
 		Fault: func(peer string, err error) {
+			t.link.faults.Add(1)
 			t.log.Warn().Str("event", "link").Str("peer", peer).Err(err).Msg("")
 		}}
 	go p.Run(all)
--- /dev/null
+++ b/agent/figures.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peathollow/distribution"
+	"peathollow/internal/figures"
+	"peathollow/registry"
+)
+
+// link is what the agent remembers of its link to a controller, for its figures.
+type link struct {
+	faults  atomic.Uint64
+	answers atomic.Uint64
+
+	mu    sync.Mutex
+	peer  string
+	at    time.Time
+	alone bool
+}
+
+func (l *link) answered(peer string, cargo *distribution.Cargo) {
+	l.answers.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peer, l.at, l.alone = peer, time.Now(), cargo.Alone
+}
+
+// figures tells what the agent knows and from whom.
+func (t *Agent) figures(emit figures.Emit) {
+	emit("link_answers_total", float64(t.link.answers.Load()))
+	emit("link_faults_total", float64(t.link.faults.Load()))
+	t.link.mu.Lock()
+	peer, at, alone := t.link.peer, t.link.at, t.link.alone
+	t.link.mu.Unlock()
+	if !at.IsZero() {
+		emit("link_answer_age_seconds", time.Since(at).Seconds(), figures.Label{Name: "peer", Value: peer})
+		emit("link_peer_alone", figures.Truth(alone))
+	}
+	if doc := t.board.Document(); doc != nil {
+		emit("configuration_version", float64(doc.Version))
+	}
+	emit("mixers_known", float64(t.board.Mixers()))
+	emit("controllers_known", float64(len(t.board.Core())))
+	emit("leaving", figures.Truth(t.leaving.Load()))
+	var listed, silent int
+	var complete bool
+	t.board.With(func(r *registry.Registry) bool {
+		complete = r.Complete()
+		for e := range r.All() {
+			if distribution.Reserved(e.Plant) {
+				continue
+			}
+			listed++
+			if e.Silent {
+				silent++
+			}
+		}
+		return false
+	})
+	emit("searchers_listed", float64(listed))
+	emit("searchers_silent", float64(silent))
+	emit("list_complete", figures.Truth(complete))
+}
--- a/cmd/peathollow/system.go
+++ b/cmd/peathollow/system.go
@@ -14,6 +14,8 @@
 
 	"peathollow/agent"
 	"peathollow/controlplane"
+	"peathollow/internal/figures"
+	"peathollow/internal/invariant"
 	"peathollow/internal/settings"
 	"peathollow/proxy"
 )
@@ -28,9 +30,13 @@
 func systemCommands() []*cli.Command {
 	// The former names of the roles are kept as aliases.
 	role := func(name, formerName, usage string, build func(s *settings.Settings, life string, l *log.Logger) (process, error)) *cli.Command {
-		return &cli.Command{Name: name, Aliases: []string{formerName}, Usage: usage, Action: func(ctx context.Context, _ *cli.Command) error {
-			return runProcess(ctx, name, build)
-		}}
+		metrics := ""
+		return &cli.Command{Name: name, Aliases: []string{formerName}, Usage: usage,
+			Flags: []cli.Flag{&cli.StringFlag{Name: "metrics", Destination: &metrics,
+				Usage: "tell the process's figures as text at `PORT/PATH` of this machine's address"}},
+			Action: func(ctx context.Context, _ *cli.Command) error {
+				return runProcess(ctx, name, metrics, build)
+			}}
 	}
 	return []*cli.Command{
 		role("proxy", "quay", "Carry clients' requests to searchers (a front machine's proxy)",
@@ -48,15 +54,23 @@
 	}
 }
 
-func runProcess(ctx context.Context, name string, build func(*settings.Settings, string, *log.Logger) (process, error)) error {
+func runProcess(ctx context.Context, name, metrics string, build func(*settings.Settings, string, *log.Logger) (process, error)) error {
 	signal.Ignore(syscall.SIGPIPE)
 	again := notify(syscall.SIGHUP)
 	s, err := settings.Read(settings.FromEnvironment(os.Getenv))
 	if err != nil {
 		return err
 	}
+	if metrics != "" {
+		if s.Metrics, err = figures.ParseAddress(metrics); err != nil {
+			return coded{err, exitUsage}
+		}
+	}
 	tuneMemory(s, name)
 	l := newLog(os.Getenv("PEATHOLLOW_LOG"))
+	invariant.OnViolation(func(name invariant.Name, saw string) {
+		l.Error().Str("event", "invariant").Str("name", string(name)).Str("saw", saw).Msg("")
+	})
 	var nonce [4]byte
 	rand.Read(nonce[:])
 	p, err := build(s, name+"/"+s.Node+"/"+hex.EncodeToString(nonce[:]), l)
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -19,6 +19,7 @@
 	"peathollow/consensus"
 	"peathollow/distribution"
 	"peathollow/failuredetector"
+	"peathollow/internal/figures"
 	"peathollow/internal/keepalive"
 	"peathollow/internal/settings"
 	"peathollow/internal/storage"
@@ -61,6 +62,7 @@
 	running  sync.WaitGroup                    // what uses the store
 	taken    atomic.Pointer[manifest.Manifest] // the configuration that an operator sent here last
 	plant    PlantedFaults
+	sight    sight
 }
 
 type peer struct {
@@ -79,7 +81,7 @@
 // New opens the store and makes a controller of this machine. A store that can't be opened now, by a disk that is full or
 // in trouble, is waited for.
 func New(s *settings.Settings, life string, l *log.Logger) (*Controller, error) {
-	on := Platform{Network: keepalive.TCP{}, Files: vfs.Default}
+	on := Platform{Network: keepalive.TCP{Relay: s.Relay, From: s.Node}, Files: vfs.Default}
 	began := time.Now()
 	for {
 		h, err := NewOn(on, s, life, l)
@@ -125,8 +127,8 @@
 		c.Seeds = append(c.Seeds, h.at(host, portMail))
 	}
 	h.core = &core{node: consensus.New(c, saved, 0), store: store, log: l, start: now, inbox: make(chan consensus.Message, inboxMost), leave: make(chan struct{}), left: make(chan struct{}),
-		ackUnsynced: on.Plant.AckUnsynced,
-		calls:       make(chan call, 64), writes: make(chan consensus.Write, 4), saved: make(chan uint64, 4), jobs: make(chan func() error, 1),
+		ackUnsynced: on.Plant.AckUnsynced, sight: &h.sight,
+		calls: make(chan call, 64), writes: make(chan consensus.Write, 4), saved: make(chan uint64, 4), jobs: make(chan func() error, 1),
 		committed: h.committed, changed: h.members}
 	h.recall()
 	l.Info().Str("event", "start").Str("id", string(h.core.node.ID())).Bool("remembers", saved != nil).Bool("cold", cold).Msg("")
@@ -164,6 +166,7 @@
 	news := distribution.Server{Board: h.board, Met: h.met}
 	go news.Serve(ctx, lns[1])
 	go h.serveCalls(ctx, lns[2])
+	go figures.ServeFor(ctx, h.log, h.set.IP, h.set.Metrics, h.figures)
 	h.running.Go(func() { h.tend(ctx) })
 	h.running.Go(func() { h.remember(ctx) })
 	h.running.Go(func() { h.core.write(ctx) })
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"peathollow/consensus"
+	"peathollow/internal/invariant"
 	"peathollow/internal/storage"
 )
 
@@ -48,6 +49,7 @@
 	left      chan struct{}         // closed once it has handed over
 
 	ackUnsynced bool // a planted fault
+	sight       *sight
 }
 
 type call struct {
@@ -100,6 +102,7 @@
 			close(c.left)
 		}
 		if err := c.node.Check(); err != nil {
+			invariant.Violated(invariant.OnePrimary, "%v", err)
 			return errors.Wrap(err, "control state")
 		}
 	}
@@ -121,6 +124,9 @@
 		}
 	}
 	if a.Committed != nil {
+		if was := c.inForce.Load(); was != nil && a.Committed.Version < was.Version {
+			invariant.Violated(invariant.VersionRises, "version %d committed after %d", a.Committed.Version, was.Version)
+		}
 		c.inForce.Store(a.Committed)
 		c.committed(*a.Committed)
 	}
@@ -138,6 +144,7 @@
 	if moved {
 		c.log.Info().Str("event", "epoch").Uint64("number", e.N).Str("primary", at).Int("in-sync", len(e.InSync)).
 			Int("members", len(e.Members)).Msg("")
+		c.sight.epochs.Add(1)
 		c.changed(e)
 	}
 }
@@ -195,10 +202,13 @@
 			told = false
 		}
 		for {
+			began := time.Now()
 			err := job()
+			c.sight.synced(time.Since(began))
 			if err == nil {
 				break
 			}
+			c.sight.syncFaults.Add(1)
 			c.log.Error().Str("event", "disk").Err(err).Msg("")
 			select {
 			case <-ctx.Done():
--- a/controlplane/doors.go
+++ b/controlplane/doors.go
@@ -53,17 +53,22 @@
 	mux := http.NewServeMux()
 	for _, d := range doors {
 		mux.HandleFunc(d.pattern, func(w http.ResponseWriter, r *http.Request) {
+			began := time.Now()
+			answer := func(x reply) {
+				h.called(d.pattern, r, x, time.Since(began))
+				send(w, x)
+			}
 			var body []byte
 			if d.body > 0 && r.ContentLength != 0 {
 				var err error
 				if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, d.body)); err != nil {
-					send(w, fault(http.StatusBadRequest, "body: "+err.Error()))
+					answer(fault(http.StatusBadRequest, "body: "+err.Error()))
 					return
 				}
 			}
 			ctx, stop := context.WithTimeout(r.Context(), d.within)
 			defer stop()
-			send(w, d.serve(h, ctx, r, body))
+			answer(d.serve(h, ctx, r, body))
 		})
 	}
 	return mux
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -164,6 +164,8 @@
 	Choose func(tried int) string
 	// Merged is called after each answer that changed something; may be nil.
 	Merged func()
+	// Answered is told of each answer; may be nil.
+	Answered func(peer string, cargo *Cargo)
 	// Fault is told why a link ended; may be nil.
 	Fault func(peer string, err error)
 	// Peer says that one controller pulls from another.
@@ -249,6 +251,9 @@
 		if len(p.lives) >= livesMost {
 			clear(p.lives)
 		}
+		if p.Answered != nil {
+			p.Answered(addr, &cargo)
+		}
 		p.lives[addr] = by // a link made anew goes on where this one ends
 		unfit := p.Board.take(&cargo, p.Peer, time.Now())
 		if unfit != nil && cargo.Whole != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/magiconair/properties"
+
+	"peathollow/internal/figures"
 )
 
 // Settings is what a process is told about itself and the rules in force.
@@ -37,6 +39,10 @@
 	RetryWindow, Settling                                   time.Duration
 	RetryRatio, RetrySlack                                  float64
 	ConfigMode                                              string
+
+	// Relay is where a test wants this process to dial through; see keepalive.TCP. Metrics comes from the command line.
+	Relay   string
+	Metrics figures.Address
 }
 
 const (
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -63,5 +63,6 @@
 	seconds("bounds.retry-window-s", "10", 0.001, "window in which such sends are counted", func(s *Settings) *time.Duration { return &s.RetryWindow }),
 	number("bounds.retry-slack", "58", 0, 1e9, "such sends that it may get in each window besides", func(s *Settings) *float64 { return &s.RetrySlack }),
 	seconds("bounds.settling-s", "12", 0, "after machines are back, until requests are served again", func(s *Settings) *time.Duration { return &s.Settling }),
+	address("lab-relay", "relay that a test puts between the processes of the system", func(s *Settings) *string { return &s.Relay }),
 	text("config_mode", "highest", "which configuration holds", func(s *Settings) *string { return &s.ConfigMode }),
 }
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +18,7 @@
 	"github.com/shoenig/test/wait"
 
 	"peathollow/distribution"
+	"peathollow/internal/figures"
 	"peathollow/internal/settings"
 	"peathollow/internal/standin/rude"
 	"peathollow/manifest"
@@ -65,6 +65,8 @@
 // Rig is one proxy and what is around it.
 type Rig struct {
 	Front, Ready string
+	Figures      string // where the proxy tells its figures
+	Log          *Log   // what it logged
 	Ledger       *rude.Ledger
 	Limits       Limits // of the versions to come
 
@@ -92,7 +94,7 @@
 // Start starts a proxy that has news of nothing but the version and searchers told later.
 func Start(t testing.TB, grace time.Duration) *Rig {
 	t.Helper()
-	r := &Rig{t: t, Ledger: &rude.Ledger{}, Limits: Limits{16384, 4096, 3000, 15000}, news: make(chan struct{}),
+	r := &Rig{t: t, Log: &Log{}, Ledger: &rude.Ledger{}, Limits: Limits{16384, 4096, 3000, 15000}, news: make(chan struct{}),
 		services: map[string]string{}, sent: map[string]*Request{}, replies: map[string][]reply{}}
 	start := time.Now().Add(-time.Minute)
 	source := registry.New(registry.Config{Name: "source", Period: time.Second, Start: start})
@@ -118,12 +120,12 @@
 		// Addresses of this process's own: a port found free on a shared one may be somebody else's by the time it is used.
 		n := int(rigs.Add(1))
 		ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%150, n/200%250, 2+n%200)
-		r.Front, r.Ready = ip+":8080", ip+":8081"
-		s := &settings.Settings{Node: "front-0", Role: "proxy", Front: r.Front, Readiness: r.Ready, Zone: "z",
+		r.Front, r.Ready, r.Figures = ip+":8080", ip+":8081", "http://"+ip+":8082/metrics"
+		s := &settings.Settings{Node: "front-0", Role: "proxy", IP: ip, Metrics: figures.Address{Port: 8082, Path: "/metrics"}, Front: r.Front, Readiness: r.Ready, Zone: "z",
 			Zones: map[string]string{"z": "r"}, PortFirst: feed.Addr().(*net.TCPAddr).Port - 2, BeatPeriod: time.Second, Grace: grace,
 			RetryRatio: 1, RetrySlack: 1e6, RetryWindow: 10 * time.Second}
 		r.ended = make(chan error, 1)
-		q := proxy.New(s, fmt.Sprint("proxy-", n), &log.Logger{Level: log.FatalLevel, Writer: log.IOWriter{Writer: io.Discard}})
+		q := proxy.New(s, fmt.Sprint("proxy-", n), &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: r.Log}})
 		go func(to chan error) { to <- q.Run(ctx) }(r.ended)
 		listens := func() bool {
 			c, err := net.Dial("tcp", r.Ready)
--- a/proxy/front.go
+++ b/proxy/front.go
@@ -30,28 +30,33 @@
 	}
 	doc := q.doc.Load()
 	if doc == nil {
+		q.turnedAway(r, http.StatusServiceUnavailable, "no configuration is known yet")
 		refuse(w, 500*time.Millisecond)
 		return
 	}
 	if headSize(r) > max(doc.Limits.HeaderBytes, 16<<10) {
 		h.Set("Connection", "close")
+		q.turnedAway(r, http.StatusRequestHeaderFieldsTooLarge, "its head is too large")
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := doc.Route(r.Host, path)
 	if route == nil || path == "" || path[0] != '/' {
+		q.turnedAway(r, http.StatusNotFound, "no route for its host and path")
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	id := r.Header.Get(attemptID)
 	if id == "" {
+		q.turnedAway(r, http.StatusBadRequest, "it has no Attempt-Id")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	body, status := readBody(w, r, doc)
 	if status != 0 {
 		h.Set("Connection", "close")
+		q.turnedAway(r, status, "its body was cut off, malformed or too large")
 		w.WriteHeader(status)
 		return
 	}
@@ -71,8 +76,10 @@
 	}
 	f, ok := q.await(r, route, t, left)
 	if !ok {
+		q.sight.clientLeft()
 		return
 	}
+	q.explain(&failure{attempt: id, route: route.Name, version: doc.Version, took: time.Since(at), left: left}, f)
 	answer(w, f)
 }
 
@@ -161,12 +168,16 @@
 	case request.Refused:
 		refuse(w, f.In)
 	default:
-		status := http.StatusBadGateway
-		if f.Late {
-			status = http.StatusGatewayTimeout
-		}
-		w.WriteHeader(status)
+		w.WriteHeader(failedStatus(f))
+	}
+}
+
+// failedStatus is the status of a request that may have run.
+func failedStatus(f request.Final) int {
+	if f.Late {
+		return http.StatusGatewayTimeout
 	}
+	return http.StatusBadGateway
 }
 
 func write(w http.ResponseWriter, status int, body []byte) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -15,6 +15,9 @@
 
 	"peathollow/brain"
 	"peathollow/distribution"
+	"peathollow/internal/figures"
+	"peathollow/internal/invariant"
+	"peathollow/internal/keepalive"
 	"peathollow/internal/settings"
 	"peathollow/internal/upstream"
 	"peathollow/manifest"
@@ -45,13 +48,14 @@
 	mixers  int
 	hosts   []request.Host
 	leaving atomic.Bool
+	sight   *sight
 }
 
 // New makes a proxy from what it is told.
 func New(s *settings.Settings, life string, l *log.Logger) *Proxy {
 	now := time.Now()
 	q := &Proxy{set: s, name: life, log: l, start: now, pools: map[string]*upstream.Pool{},
-		board: distribution.NewBoard(registry.New(registry.Config{Name: life, Relay: true, Period: s.BeatPeriod, Start: now}))}
+		sight: newSight(), board: distribution.NewBoard(registry.New(registry.Config{Name: life, Relay: true, Period: s.BeatPeriod, Start: now}))}
 	q.life = q.newLife()
 	q.clock = time.AfterFunc(time.Hour, q.due)
 	q.clock.Stop()
@@ -81,8 +85,9 @@
 	all, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	p := distribution.Puller{Board: q.board, Node: q.set.Node, Life: q.name, Kind: "proxy", Merged: q.merged,
-		Choose: func(int) string { return AgentPort(q.set) }}
+		Choose: func(int) string { return AgentPort(q.set) }, Network: keepalive.TCP{Relay: q.set.Relay, From: q.set.Node}}
 	go p.Run(all)
+	go figures.ServeFor(all, q.log, q.set.IP, q.set.Metrics, q.figures)
 	rs := &http.Server{Handler: http.HandlerFunc(q.ready), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
 	go rs.Serve(ready)
 	fs := &http.Server{Handler: q, ReadHeaderTimeout: headSign, IdleTimeout: restSign, MaxHeaderBytes: headMost,
@@ -145,8 +150,13 @@
 // merged takes over what the agent told.
 func (q *Proxy) merged() {
 	doc := q.board.Document()
-	if was := q.doc.Load(); doc != nil && (was == nil || doc.Version > was.Version) {
+	was := q.doc.Load()
+	if doc != nil && was != nil && doc.Version < was.Version {
+		invariant.Violated(invariant.VersionRises, "version %d after %d", doc.Version, was.Version)
+	}
+	if doc != nil && (was == nil || doc.Version > was.Version) {
 		q.doc.Store(doc)
+		q.sight.configured(time.Now())
 		q.log.Info().Str("event", "configuration").Uint64("version", doc.Version).Int("routes", len(doc.Routes)).Msg("")
 	}
 	var gen uint64
@@ -162,6 +172,7 @@
 		return false
 	})
 	n := q.board.Mixers()
+	q.sight.told(time.Now())
 	q.do(func() {
 		q.mixers = n
 		q.life.Mixers(n)
@@ -248,6 +259,7 @@
 func (q *Proxy) restart(why any) {
 	q.log.Error().Str("event", "panic").Any("why", why).Bytes("stack", debug.Stack()).Msg("")
 	old := q.life
+	q.sight.restarts.Add(1)
 	q.life, q.armed = q.newLife(), 0
 	q.life.Mixers(q.mixers)
 	q.life.List(q.hosts)
@@ -266,6 +278,7 @@
 func (q *Proxy) tally() {
 	q.mu.Lock()
 	c, n := q.life.Counts, q.life.InHand()
+	q.life.CheckBalance()
 	q.mu.Unlock()
 	q.log.Info().Str("event", "tally").Int("taken", c.Taken).Int("relayed", c.Relayed).Int("gathered", c.Gathered).
 		Int("partial", c.Partial).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"peathollow/brain"
+	"peathollow/internal/invariant"
 	"peathollow/internal/upstream"
 	"peathollow/request"
 )
@@ -23,6 +24,10 @@
 	until time.Time // the client's deadline
 }
 
+// deadlineSlack is by how much a dispatch may end after its client's deadline: the request is told of the time left a
+// moment after it was read.
+const deadlineSlack = 200 * time.Millisecond
+
 // prepare makes a dispatch ready to be sent; the lock is held.
 func (q *Proxy) prepare(d *request.Dispatch) {
 	t := d.Request.Data.(*taken)
@@ -31,6 +36,9 @@
 	s.call.Target = d.Host.ID
 	s.call.Deadline = q.start.Add(d.Until)
 	s.call.ToldDeadline = t.until
+	if over := s.call.Deadline.Sub(t.until); over > deadlineSlack {
+		invariant.Violated(invariant.DeadlineWithinClients, "searcher %s: %v past the client's", d.Host.ID, over)
+	}
 	d.Call = s
 }
 
--- /dev/null
+++ b/proxy/sight.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"peathollow/brain"
+	"peathollow/internal/figures"
+	"peathollow/internal/logbound"
+	"peathollow/request"
+)
+
+// failureLines is how many failed requests a second get a line in the log; the rest are counted.
+const failureLines = 20
+
+// sight is what the proxy keeps only so that others can see afterwards what it did.
+type sight struct {
+	lines *logbound.Limiter
+
+	failed        map[request.Reason]*atomic.Uint64 // requests refused or failed
+	turnedAway    atomic.Uint64                     // requests that were never taken
+	gone          atomic.Uint64                     // clients that left before their answer
+	restarts      atomic.Uint64                     // of what decides, after a fault in it
+	toldAt        atomic.Int64                      // when the agent last answered, in Unix nanoseconds
+	configuredAt  atomic.Int64
+	configuration atomic.Uint64 // changes of it
+}
+
+func newSight() *sight {
+	s := &sight{lines: &logbound.Limiter{PerSecond: failureLines}, failed: map[request.Reason]*atomic.Uint64{}}
+	for _, reason := range []request.Reason{request.NoSearcher, request.TurnedAway, request.NotAdmitted, request.TimeOver,
+		request.MayHaveRun, request.NoTryLeft, request.ProcessFailed} {
+		s.failed[reason] = &atomic.Uint64{}
+	}
+	return s
+}
+
+func (s *sight) told(now time.Time) { s.toldAt.Store(now.UnixNano()) }
+
+func (s *sight) configured(now time.Time) {
+	s.configuredAt.Store(now.UnixNano())
+	s.configuration.Add(1)
+}
+
+func (s *sight) clientLeft() { s.gone.Add(1) }
+
+// failure is what is known at the door of a request that got no answer of a searcher's.
+type failure struct {
+	attempt, route string
+	version        uint64
+	took, left     time.Duration
+}
+
+// explain logs why a request was refused or has failed, and what was tried.
+func (q *Proxy) explain(r *failure, f request.Final) {
+	if f.Kind != request.Refused && f.Kind != request.Failed {
+		return
+	}
+	if n := q.sight.failed[f.Reason]; n != nil {
+		n.Add(1)
+	}
+	ok, suppressed := q.sight.lines.Allow(time.Now())
+	if !ok {
+		return
+	}
+	status := http.StatusServiceUnavailable
+	if f.Kind == request.Failed {
+		status = failedStatus(f)
+	}
+	q.log.Warn().Str("event", "request-failed").Str("attempt-id", r.attempt).Int("status", status).Str("reason", string(f.Reason)).
+		Str("route", r.route).Uint64("version", r.version).Int64("age-ms", r.took.Milliseconds()).
+		Int64("deadline-ms", r.left.Milliseconds()).Str("tries", describeTries(f.Tries)).Int("not-logged", suppressed).Msg("")
+}
+
+// turnedAway logs a request that was never taken.
+func (q *Proxy) turnedAway(r *http.Request, status int, reason string) {
+	q.sight.turnedAway.Add(1)
+	ok, suppressed := q.sight.lines.Allow(time.Now())
+	if !ok {
+		return
+	}
+	version := uint64(0)
+	if doc := q.doc.Load(); doc != nil {
+		version = doc.Version
+	}
+	const most = 200
+	q.log.Warn().Str("event", "request-failed").Str("attempt-id", r.Header.Get(attemptID)).Int("status", status).Str("reason", reason).
+		Str("host", r.Host[:min(len(r.Host), most)]).Str("path", r.RequestURI[:min(len(r.RequestURI), most)]).
+		Uint64("version", version).Int("not-logged", suppressed).Msg("")
+}
+
+// triesMost is how many tries a line names.
+const triesMost = 24
+
+// describeTries gives each try as searcher, outcome and time.
+func describeTries(tries []request.Try) string {
+	if len(tries) == 0 {
+		return "none"
+	}
+	var b strings.Builder
+	for i, t := range tries {
+		if i == triesMost {
+			b.WriteString(" ...")
+			break
+		}
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		outcome := outcomeName(t.Outcome)
+		if t.Out {
+			outcome = "open"
+		}
+		b.WriteString(t.Searcher + ":" + outcome + ":" + t.Took.Round(time.Millisecond).String())
+	}
+	return b.String()
+}
+
+var outcomeNames = [brain.Stale + 1]string{brain.Pass: "answered", brain.Fault: "bad-answer", brain.NoRoom: "turned-away",
+	brain.TooSlow: "too-slow", brain.NoRoute: "unreachable", brain.Cut: "cut-off", brain.Undone: "called-off", brain.Stale: "not-sent"}
+
+func outcomeName(o brain.Outcome) string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
+// figures tells what the proxy has done and what it goes by.
+func (q *Proxy) figures(emit figures.Emit) {
+	now := time.Now()
+	q.mu.Lock()
+	c, inHand, pools, listed, mixers, hosts := q.life.Counts, q.life.InHand(), len(q.pools), q.listed, q.mixers, len(q.hosts)
+	open, idle := 0, 0
+	for _, p := range q.pools {
+		open += p.Open()
+		idle += p.Idle()
+	}
+	q.mu.Unlock()
+	outcome := func(name string, n int) {
+		emit("requests_total", float64(n), figures.Label{Name: "outcome", Value: name})
+	}
+	outcome("relayed", c.Relayed)
+	outcome("gathered", c.Gathered)
+	outcome("refused", c.Refused)
+	outcome("failed", c.Failed)
+	outcome("client_left", c.Left)
+	emit("requests_partial_total", float64(c.Partial))
+	emit("requests_taken_total", float64(c.Taken))
+	emit("requests_in_hand", float64(inHand))
+	emit("requests_turned_away_total", float64(q.sight.turnedAway.Load()))
+	emit("clients_left_total", float64(q.sight.gone.Load()))
+	emit("decision_restarts_total", float64(q.sight.restarts.Load()))
+	for reason, n := range q.sight.failed {
+		emit("requests_unanswered_total", float64(n.Load()), figures.Label{Name: "reason", Value: string(reason)})
+	}
+	emit("dispatches_total", float64(c.Sent))
+	emit("dispatches_further_total", float64(c.Further))
+	for o, n := range c.Outcomes {
+		emit("dispatch_outcomes_total", float64(n), figures.Label{Name: "outcome", Value: outcomeName(brain.Outcome(o))})
+	}
+	emit("pools", float64(pools))
+	emit("connections_open", float64(open))
+	emit("connections_idle", float64(idle))
+	emit("searchers_listed", float64(hosts))
+	emit("list_complete", figures.Truth(listed))
+	emit("mixers_known", float64(mixers))
+	emit("leaving", figures.Truth(q.leaving.Load()))
+	emit("agent_answer_age_seconds", age(now, q.sight.toldAt.Load()))
+	if doc := q.doc.Load(); doc != nil {
+		emit("configuration_version", float64(doc.Version))
+		emit("configuration_age_seconds", age(now, q.sight.configuredAt.Load()))
+	}
+}
+
+// age is how many seconds ago something was, -1 if it never was.
+func age(now time.Time, unixNano int64) float64 {
+	if unixNano == 0 {
+		return -1
+	}
+	return now.Sub(time.Unix(0, unixNano)).Seconds()
+}
--- /dev/null
+++ b/proxy/sight_test.go
@@ -0,0 +1,72 @@
+package proxy_test
+
+import (
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"peathollow/internal/invariant"
+	"peathollow/internal/standin/rig"
+	"peathollow/internal/standin/rude"
+)
+
+func init() { invariant.SetFatal(true) }
+
+// figure reads one figure of a proxy.
+func figure(t *testing.T, r *rig.Rig, name string) float64 {
+	t.Helper()
+	answer, err := http.Get(r.Figures)
+	must.NoError(t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	must.NoError(t, err)
+	found := regexp.MustCompile("(?m)^" + regexp.QuoteMeta("peathollow_"+name) + " (\\S+)$").FindSubmatch(text)
+	must.NotNil(t, found, must.Sprintf("%s in\n%s", name, text))
+	value, err := strconv.ParseFloat(string(found[1]), 64)
+	must.NoError(t, err)
+	return value
+}
+
+// TestFailureIsExplained: a request that got no searcher's answer leaves a line that names it, what was tried and why, and
+// is counted by its reason.
+func TestFailureIsExplained(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief)
+	broken := r.Searcher("s", rude.Options{Script: func(rude.Call) rude.Reply { return rude.Reply{Way: rude.CloseRun} }})
+	r.Put(rig.Route{Name: "once", Prefix: "/once/", Plant: "s", Mode: "non_idempotent"}, rig.Route{Name: "empty", Prefix: "/empty/", Plant: "nobody"})
+	for _, c := range []struct {
+		path, reason, tries string
+		status              int
+	}{
+		{"/once/1", "it may have run and cannot be sent again", broken.ID() + ":cut-off:", http.StatusBadGateway},
+		{"/empty/1", "no searcher of a service it needs is listed", "none", http.StatusServiceUnavailable},
+		{"/nowhere", "no route for its host and path", "", http.StatusNotFound},
+	} {
+		a := r.Do(rig.Request{Path: c.path})
+		must.Eq(t, c.status, a.Status, must.Sprint(c.path))
+		must.Len(t, 1, r.Log.With("request-failed", a.Of.ID, c.reason, c.tries, strconv.Itoa(c.status)), must.Sprint(r.Log.With("request-failed")))
+	}
+	must.Eq(t, 1, figure(t, r, `requests_unanswered_total{reason="it may have run and cannot be sent again"}`))
+	must.Eq(t, 1, figure(t, r, `dispatch_outcomes_total{outcome="cut-off"}`))
+	must.Eq(t, 1, figure(t, r, "requests_turned_away_total"))
+	must.Eq(t, 3, figure(t, r, "configuration_version"))
+}
+
+// TestFailureLinesAreBounded: a storm of failures leaves some lines and a count of the others.
+func TestFailureLinesAreBounded(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief)
+	r.Put(rig.Route{Prefix: "/", Plant: "nobody"})
+	const storm = 200
+	for range storm {
+		r.Do(rig.Request{Path: "/"})
+	}
+	lines := r.Log.With("request-failed")
+	must.Positive(t, len(lines))
+	must.Less(t, storm/2, len(lines))
+	must.Eq(t, storm, figure(t, r, `requests_unanswered_total{reason="no searcher of a service it needs is listed"}`))
+}
--- /dev/null
+++ b/request/explain.go
@@ -0,0 +1,76 @@
+package request
+
+import (
+	"peathollow/brain"
+)
+
+// neverRan tells of the outcomes after which the searcher has surely not run the part and never will.
+func neverRan(out brain.Outcome) bool {
+	return out == brain.NoRoom || out == brain.NoRoute || out == brain.Stale
+}
+
+// mayHaveRun tells whether a searcher may have run the part, or may still.
+func (p *part) mayHaveRun() bool {
+	for _, d := range p.tries {
+		if d.out || !neverRan(d.outcome) {
+			return true
+		}
+	}
+	return false
+}
+
+// tries lists what was sent for a request.
+func (l *Life) tries(r *Request) (tries []Try) {
+	for _, p := range r.parts {
+		for _, d := range p.tries {
+			t := Try{Searcher: d.Host.ID, Out: d.out, Outcome: d.outcome, Took: d.took}
+			if d.out {
+				t.Took = l.now - d.at
+			}
+			tries = append(tries, t)
+		}
+	}
+	return tries
+}
+
+// unlisted tells whether a service that the request needs has no searcher that may be chosen.
+func (r *Request) unlisted() bool {
+	for _, service := range r.shards {
+		listed := false
+		for _, h := range r.group.hosts {
+			listed = listed || h.Service == service && h.State == brain.Ready
+		}
+		if !listed {
+			return true
+		}
+	}
+	return false
+}
+
+// refusal says why a request was refused.
+func (l *Life) refusal(r *Request) Reason {
+	tried := false
+	for _, p := range r.parts {
+		tried = tried || len(p.tries) > 0
+	}
+	switch {
+	case r.unlisted():
+		return NoSearcher
+	case tried:
+		return TurnedAway
+	}
+	return NotAdmitted
+}
+
+// failure says why a request failed.
+func (l *Life) failure(r *Request, late bool) Reason {
+	switch {
+	case late:
+		return TimeOver
+	case r.unlisted():
+		return NoSearcher
+	case !r.Route.Idempotent && len(r.parts) > 0 && r.parts[0].mayHaveRun():
+		return MayHaveRun
+	}
+	return NoTryLeft
+}
--- a/request/group.go
+++ b/request/group.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peathollow/brain"
+	"peathollow/internal/invariant"
 	"peathollow/manifest"
 )
 
@@ -157,6 +158,7 @@
 func (p port) Dispatch(id uint64, index int, until time.Duration) {
 	l, h := p.g.l, p.g.byIndex[index]
 	pt := l.parts[id]
+	l.checkDispatch(pt, h)
 	d := &Dispatch{Request: pt.req, Host: h.Host, Until: until, part: pt, no: len(pt.tries), at: l.now, out: true, host: h}
 	pt.tries = append(pt.tries, d)
 	h.out++
@@ -202,9 +204,11 @@
 // take finds a request that the module has ended.
 func (p port) take(id uint64) *Request {
 	r := p.g.l.reqs[id]
-	if r != nil {
-		p.g.busy--
+	if r == nil {
+		invariant.Violated(invariant.OneFinalAnswer, "request %d was ended and is not in hand", id)
+		return nil
 	}
+	p.g.busy--
 	return r
 }
 
--- a/request/life.go
+++ b/request/life.go
@@ -134,7 +134,7 @@
 	if !d.out || d.Request.group.l != l || l.over {
 		return
 	}
-	d.out = false
+	d.out, d.outcome, d.took = false, out, l.now-d.at
 	l.Counts.Outcomes[out]++
 	if r := d.Request; !r.ended && reply != nil {
 		switch {
@@ -155,7 +155,7 @@
 	for _, r := range l.reqs {
 		if !r.ended {
 			r.ended = true
-			r.Done(Final{Kind: Failed})
+			r.Done(Final{Kind: Failed, Reason: ProcessFailed, Tries: l.tries(r)})
 		}
 	}
 	l.reqs, l.parts, l.timers = nil, nil, timers{}
@@ -191,8 +191,10 @@
 		}
 	case Refused:
 		l.Counts.Refused++
+		f.Reason, f.Tries = l.refusal(r), l.tries(r)
 	case Failed:
 		l.Counts.Failed++
+		f.Reason, f.Tries = l.failure(r, f.Late), l.tries(r)
 	}
 	for _, p := range r.parts {
 		l.settle(p)
--- a/request/types.go
+++ b/request/types.go
@@ -45,6 +45,30 @@
 	Body    []byte
 	In      time.Duration
 	Late    bool // its time was over
+	Reason  Reason
+	Tries   []Try // of one that was refused or has failed
+}
+
+// Reason says why a request was refused or has failed.
+type Reason string
+
+// The reasons.
+const (
+	NoSearcher    Reason = "no searcher of a service it needs is listed"
+	TurnedAway    Reason = "the searchers tried turned it away or could not be reached"
+	NotAdmitted   Reason = "not admitted: its searchers answer too late or are full"
+	TimeOver      Reason = "its time was over"
+	MayHaveRun    Reason = "it may have run and cannot be sent again"
+	NoTryLeft     Reason = "no further try was left or allowed by the budget"
+	ProcessFailed Reason = "a fault in the proxy ended all that was in hand"
+)
+
+// Try is one dispatch made for a request, as it stood when the request ended.
+type Try struct {
+	Searcher string
+	Out      bool // its outcome was still open
+	Outcome  brain.Outcome
+	Took     time.Duration // until its outcome, or until the request ended
 }
 
 // Request is one try of a client.
@@ -74,7 +98,10 @@
 	no   int
 	at   time.Duration
 	out  bool
-	host *host
+	// Once it is not out any more: what became of it, and how long that took.
+	outcome brain.Outcome
+	took    time.Duration
+	host    *host
 }
 
 // part is what a request wants from one service.
