--- a/internal/standin/berths/ports.go
+++ b/internal/standin/berths/ports.go
@@ -10,29 +10,34 @@
 )
 
 // Each machine has a loopback address of its own, so that all can have the same ports. But an agent serves its proxy at
-// 127.0.0.1, as on real machines; so the second front has a range of its own, and finds the controllers of its seeds,
+// 127.0.0.1, as on real machines; so each front has a range of ports of its own, and finds the controllers of its seeds,
 // which it takes for machines with its own ports, through a relay.
 
 const (
-	portNews    = 1 // of a controller, within its range
-	rangeLength = 8
-	rangeApart  = 16
-	portControl = 32
-	portFront   = 33
-	portReady   = 34
-	portsInAll  = 48
+	portNews              = 1 // of a controller, within its range
+	rangeLength           = 8 // of the ports between the system's processes
+	portControl           = rangeLength * frontsMost
+	portFront             = portControl + 1
+	portReady             = portControl + 2
+	portProxyMetrics      = portControl + 3
+	portAgentMetrics      = portControl + 4
+	portControllerMetrics = portControl + 5
+	portsInAll            = portControl + 8
+
+	basesFirst = 12000 // below the ports that the kernel gives out by itself
+	bases      = 350
 )
 
 func controllerIP(i int) string { return fmt.Sprintf("127.0.0.%d", 2+i) }
 
-func frontIP(i int) string { return fmt.Sprintf("127.0.0.%d", 2+controllers+i) }
+func frontIP(i int) string { return fmt.Sprintf("127.0.0.%d", 2+controllersMost+i) }
 
 func at(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
-// freeBase finds a port from which on all are free, below those that the kernel gives out by itself.
+// freeBase finds a port from which on all are free.
 func freeBase() (int, error) {
 	for range 50 {
-		base := 12000 + portsInAll*rand.IntN(400)
+		base := basesFirst + portsInAll*rand.IntN(bases)
 		if free(base) {
 			return base, nil
 		}
@@ -41,7 +46,7 @@
 }
 
 func free(base int) bool {
-	for i := range 1 + controllers + fronts {
+	for i := range 1 + controllersMost + frontsMost {
 		for p := range portsInAll {
 			ln, err := net.Listen("tcp", at(fmt.Sprintf("127.0.0.%d", 1+i), base+p))
 			if err != nil {
--- a/internal/standin/berths/process.go
+++ b/internal/standin/berths/process.go
@@ -4,85 +4,130 @@
 	"bytes"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// process is one child: a role of the system with a settings file of its own.
-type process struct {
-	name  string
-	log   string
+// Process is one child: a role of the system with a settings file of its own. It may end and be started again.
+type Process struct {
+	Name    string // of the machine and, on a front, the role
+	Machine string
+	Role    string
+	Metrics string // where it tells its figures
+	Log     string // path of its log, of all its lives
+	Conf    string // path of its settings
+
+	program, env []string
+
+	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
 	err   error // after ended
 	asked bool  // its end was asked for
+	lives int
 }
 
-func launch(program, env []string, dir, role, name, settings string) (*process, error) {
-	file := filepath.Join(dir, name+".conf")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-		return nil, errors.Wrap(err, name)
-	}
-	p := &process{name: name, log: filepath.Join(dir, name+".log"), ended: make(chan struct{})}
-	log, err := os.Create(p.log)
+// Start starts a life of the process.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, errors.Wrap(err, name)
+		return errors.Wrap(err, p.Name)
 	}
 	defer log.Close()
-	p.cmd = exec.Command(program[0], append(program[1:len(program):len(program)], role)...)
-	p.cmd.Env = append(append(os.Environ(), env...), "PEATHOLLOW_SETTINGS="+file)
-	p.cmd.Stdout, p.cmd.Stderr = log, log
+	cmd := exec.Command(p.program[0], p.program[1:]...)
+	cmd.Env = append(append(os.Environ(), p.env...), "PEATHOLLOW_SETTINGS="+p.Conf)
+	cmd.Stdout, cmd.Stderr = log, log
 	// A group of its own, so that Ctrl-C ends the parent first, which ends the children in order; none outlives it.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		return nil, errors.Wrap(err, name)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, p.Name)
 	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.asked = cmd, ended, false
+	p.lives++
 	go func() {
-		p.err = p.cmd.Wait()
-		close(p.ended)
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(ended)
 	}()
-	return p, nil
+	return nil
+}
+
+// Signal sends a signal to the present life. One that asks for its end makes that end an expected one.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = p.asked || s == syscall.SIGKILL || s == syscall.SIGTERM
+	p.cmd.Process.Signal(s)
+}
+
+// Ended is closed once the present life is over.
+func (p *Process) Ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
 }
 
-func (p *process) gone() bool {
+// Lives tells how many lives the process has had.
+func (p *Process) Lives() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lives
+}
+
+// Kill ends the present life at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.Ended()
+}
+
+// Fault tells how the present life ended if that was not as asked: by itself, or after SIGTERM with an error.
+func (p *Process) Fault() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	select {
 	case <-p.ended:
-		return true
 	default:
-		return false
+		return nil
 	}
-}
-
-func (p *process) kill() {
-	p.asked = true
-	p.cmd.Process.Signal(syscall.SIGKILL)
-	<-p.ended
+	killed := p.cmd.ProcessState != nil && !p.cmd.ProcessState.Exited()
+	switch {
+	case !p.asked:
+		return errors.Errorf("%s ended by itself: %v; its log ends with:\n%s", p.Name, p.err, p.tail(5))
+	case p.err != nil && !killed:
+		return errors.Errorf("%s ended with %v; its log ends with:\n%s", p.Name, p.err, p.tail(5))
+	}
+	return nil
 }
 
 // end stops all of them: SIGTERM, and SIGKILL after the time given. Its error tells of those that ended otherwise.
-func end(all []*process, within time.Duration) error {
+func end(all []*Process, within time.Duration) error {
 	var bad error
 	for _, p := range all {
-		if p.gone() && !p.asked {
-			bad = errors.Join(bad, errors.Errorf("%s ended by itself: %v; its log ends with:\n%s", p.name, p.err, p.tail(5)))
+		if err := p.Fault(); err != nil {
+			bad = errors.Join(bad, err)
 		}
-		p.cmd.Process.Signal(syscall.SIGTERM)
+		p.Signal(syscall.SIGTERM)
 	}
 	late := time.After(within)
 	for _, p := range all {
 		select {
-		case <-p.ended:
-			if p.err != nil && !p.asked && bad == nil {
-				bad = errors.Errorf("%s ended with %v; its log ends with:\n%s", p.name, p.err, p.tail(5))
+		case <-p.Ended():
+			if err := p.Fault(); err != nil && bad == nil {
+				bad = err
 			}
 		case <-late:
-			bad = errors.Join(bad, errors.Errorf("%s did not end within %v of SIGTERM", p.name, within))
+			bad = errors.Join(bad, errors.Errorf("%s did not end within %v of SIGTERM", p.Name, within))
 			for _, p := range all {
-				p.kill()
+				p.Kill()
 			}
 			return bad
 		}
@@ -91,8 +136,8 @@
 }
 
 // tail is the end of its log.
-func (p *process) tail(lines int) string {
-	b, _ := os.ReadFile(p.log)
+func (p *Process) tail(lines int) string {
+	b, _ := os.ReadFile(p.Log)
 	all := strings.Split(string(bytes.TrimSpace(b)), "\n")
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
--- a/internal/standin/berths/system.go
+++ b/internal/standin/berths/system.go
@@ -1,13 +1,14 @@
 package berths
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,11 +19,14 @@
 )
 
 const (
-	controllers = 3
-	fronts      = 2
-	shards      = 3
-	copies      = 2 // searchers of a service
-	topK        = 10
+	controllersUsual = 3
+	frontsUsual      = 2
+	controllersMost  = 5
+	frontsMost       = 6
+
+	shards = 3
+	copies = 2 // searchers of a service
+	topK   = 10
 
 	host   = "try.example"
 	single = "single"
@@ -33,28 +37,58 @@
 
 // Options says what to run.
 type Options struct {
-	Program []string // its first arguments; the role follows
-	Env     []string // for it
+	Program     []string // its first arguments; the role follows
+	Env         []string // for it
+	Controllers int      // 3 if 0
+	Fronts      int      // 2 if 0
+	Dir         string   // for settings, logs and disks, and kept after the end; one that is removed then if empty
+	Relay       string   // that the processes dial each other through, if not empty; see keepalive.TCP
+	Settings    string   // further lines for all settings files
 }
 
 // System is one that runs.
 type System struct {
-	Control   []string // of the controllers
-	Fronts    []string // where clients are served
+	Control   []string   // of the controllers
+	Fronts    []string   // where clients are served
+	Ready     []string   // where fronts tell that they are ready
+	Processes []*Process // controllers first, then each front's agent and proxy
 	Searchers []*Searcher
 
-	dir       string
-	ready     []string
-	processes []*process // controllers first
-	relays    []net.Listener
-	ledger    *rude.Ledger
-	client    *client.Client
+	options Options
+	base    int // the first of its ports
+	dir     string
+	relays  []net.Listener
+	ledger  *rude.Ledger
+	client  *client.Client
 }
 
 // Start starts a system and waits till it takes clients. After an error nothing is left of it.
 func Start(ctx context.Context, o Options) (*System, error) {
+	s, err := Launch(o)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.serve(ctx); err != nil {
+		// Why something ended is worth more than that nobody heard of it.
+		return nil, errors.Join(err, s.Stop())
+	}
+	return s, nil
+}
+
+// Launch starts the processes of a system, which has no searchers and no configuration then. After an error nothing is
+// left of it.
+func Launch(o Options) (*System, error) {
+	if o.Controllers == 0 {
+		o.Controllers = controllersUsual
+	}
+	if o.Fronts == 0 {
+		o.Fronts = frontsUsual
+	}
+	if o.Controllers > controllersMost || o.Fronts > frontsMost {
+		return nil, errors.Errorf("%d controllers and %d fronts: %d and %d at most", o.Controllers, o.Fronts, controllersMost, frontsMost)
+	}
 	for try := 0; ; try++ {
-		s, err := start(ctx, o)
+		s, err := launchAt(o)
 		// A port that was found free may be somebody else's by the time it is listened at.
 		if err == nil || try == 2 || !strings.Contains(err.Error(), "address already in use") {
 			return s, err
@@ -62,63 +96,105 @@
 	}
 }
 
-func start(ctx context.Context, o Options) (*System, error) {
+func launchAt(o Options) (*System, error) {
 	base, err := freeBase()
 	if err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "peathollow-try-")
-	if err != nil {
-		return nil, errors.Wrap(err, "folder")
+	s := &System{dir: o.Dir, base: base, options: o, ledger: &rude.Ledger{}}
+	if s.dir == "" {
+		if s.dir, err = os.MkdirTemp("", "peathollow-try-"); err != nil {
+			return nil, errors.Wrap(err, "folder")
+		}
 	}
-	s := &System{dir: dir, ledger: &rude.Ledger{}}
-	if err := s.start(ctx, o, base); err != nil {
-		// Why something ended is worth more than that nobody heard of it.
+	if err := s.launch(); err != nil {
 		return nil, errors.Join(err, s.Stop())
 	}
 	return s, nil
 }
 
-func (s *System) start(ctx context.Context, o Options, base int) error {
-	for i := range controllers {
-		s.Control = append(s.Control, at(controllerIP(i), base+portControl))
+// launch starts all processes.
+func (s *System) launch() error {
+	for i := range s.options.Controllers {
+		s.Control = append(s.Control, at(controllerIP(i), s.base+portControl))
 	}
-	for i := range controllers {
-		name := fmt.Sprint("core-", i)
-		data := filepath.Join(s.dir, name)
-		if err := os.Mkdir(data, 0o700); err != nil {
-			return errors.Wrap(err, name)
+	for i := range s.options.Controllers {
+		if err := s.launchController(i); err != nil {
+			return err
 		}
-		conf := s.settings(name, "core", controllerIP(i), i, base) +
-			fmt.Sprintf("bind-addrs.control=%s\ndata-dir=%s\nserves=supervisor\ncounts-loss=true\n", s.Control[i], data)
-		if err := s.launch(o, "controller", name, conf); err != nil {
+	}
+	for i := range s.options.Fronts {
+		if err := s.launchFront(i); err != nil {
 			return err
 		}
 	}
-	for i := range fronts {
-		own := base + i*rangeApart
-		name, ip := fmt.Sprint("front-", i), frontIP(i)
-		for k := range controllers {
-			if i == 0 {
-				break
-			}
-			ln, err := net.Listen("tcp", at(controllerIP(k), own+portNews))
-			if err != nil {
-				return errors.Wrap(err, "relay")
-			}
-			s.relays = append(s.relays, ln)
-			go relay(ln, at(controllerIP(k), base+portNews))
+	s.client = client.New(s.Control...)
+	return nil
+}
+
+func (s *System) launchController(i int) error {
+	name := fmt.Sprint("core-", i)
+	if err := os.Mkdir(s.disk(name), 0o700); err != nil {
+		return errors.Wrap(err, name)
+	}
+	conf := s.settings(name, "core", controllerIP(i), i, s.base) +
+		fmt.Sprintf("bind-addrs.control=%s\ndata-dir=%s\nserves=supervisor\ncounts-loss=true\n", s.Control[i], s.disk(name))
+	return s.add("controller", name, name, controllerIP(i), portControllerMetrics, conf)
+}
+
+func (s *System) launchFront(i int) error {
+	own := s.base + i*rangeLength
+	name, ip := fmt.Sprint("front-", i), frontIP(i)
+	if i > 0 && s.options.Relay == "" {
+		if err := s.relayNews(own); err != nil {
+			return err
 		}
-		s.Fronts, s.ready = append(s.Fronts, at(ip, base+portFront)), append(s.ready, at(ip, base+portReady))
-		conf := s.settings(name, "front", ip, i, own) +
-			fmt.Sprintf("bind-addrs.front=%s\nbind-addrs.readiness=%s\n", s.Fronts[i], s.ready[i])
-		for _, role := range []string{"agent", "proxy"} {
-			if err := s.launch(o, role, name+"-"+role, conf); err != nil {
-				return err
-			}
+	}
+	s.Fronts, s.Ready = append(s.Fronts, at(ip, s.base+portFront)), append(s.Ready, at(ip, s.base+portReady))
+	conf := s.settings(name, "front", ip, i, own) +
+		fmt.Sprintf("bind-addrs.front=%s\nbind-addrs.readiness=%s\n", s.Fronts[i], s.Ready[i])
+	if err := s.add("agent", name, name+"-agent", ip, portAgentMetrics, conf); err != nil {
+		return err
+	}
+	return s.add("proxy", name, name+"-proxy", ip, portProxyMetrics, conf)
+}
+
+// relayNews lets a front with a range of ports of its own reach the controllers.
+func (s *System) relayNews(own int) error {
+	for k := range s.options.Controllers {
+		ln, err := net.Listen("tcp", at(controllerIP(k), own+portNews))
+		if err != nil {
+			return errors.Wrap(err, "relay")
 		}
+		s.relays = append(s.relays, ln)
+		go relay(ln, at(controllerIP(k), s.base+portNews))
 	}
-	s.client = client.New(s.Control...)
+	return nil
+}
+
+// Resolve gives the address and the machine that a process means which dials through a relay; see ports.go.
+func (s *System) Resolve(from, address string) (to, machine string, err error) {
+	ip, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", "", errors.Wrap(err, "resolve")
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return "", "", errors.Wrap(err, "resolve")
+	}
+	for i := range s.options.Controllers {
+		if ip == controllerIP(i) && port < s.base+portControl {
+			port = s.base + (port-s.base)%rangeLength
+		}
+		if ip == controllerIP(i) {
+			return at(ip, port), fmt.Sprint("core-", i), nil
+		}
+	}
+	return address, from, nil // an agent, by its own proxy
+}
+
+// serve adds searchers and a configuration, and waits till all fronts are ready.
+func (s *System) serve(ctx context.Context) error {
 	for service := range shards + 1 {
 		name := single
 		if service < shards {
@@ -136,7 +212,12 @@
 	if _, err := s.client.Put(ctx, Config(1)); err != nil {
 		return errors.Wrap(err, "first configuration")
 	}
-	for _, at := range s.ready {
+	return s.AwaitReady(ctx)
+}
+
+// AwaitReady waits till all fronts say that they are ready.
+func (s *System) AwaitReady(ctx context.Context) error {
+	for _, at := range s.Ready {
 		if err := s.until(ctx, at+" is ready", func() bool { return status(ctx, "http://"+at+"/ready", "") == http.StatusOK }); err != nil {
 			return err
 		}
@@ -144,18 +225,60 @@
 	return nil
 }
 
-func (s *System) launch(o Options, role, name, conf string) error {
-	p, err := launch(o.Program, o.Env, s.dir, role, name, conf)
-	if err == nil {
-		s.processes = append(s.processes, p)
+// disk is the folder that stands for a controller's disk.
+func (s *System) disk(machine string) string { return filepath.Join(s.dir, machine) }
+
+// Wipe empties the disk of a controller, which must not run.
+func (s *System) Wipe(machine string) error {
+	if err := os.RemoveAll(s.disk(machine)); err != nil {
+		return errors.Wrap(err, machine)
 	}
-	return err
+	return errors.Wrap(os.Mkdir(s.disk(machine), 0o700), machine)
 }
 
-func zone(i int) string { return fmt.Sprint("zone-", i%controllers) }
+// Warm tells in all settings files that the system has started before, as later starts of its processes are to read.
+func (s *System) Warm() error {
+	for _, p := range s.Processes {
+		conf, err := os.ReadFile(p.Conf)
+		if err != nil {
+			return errors.Wrap(err, p.Name)
+		}
+		conf = bytes.Replace(conf, []byte("cold-start=true"), []byte("cold-start=false"), 1)
+		if err := os.WriteFile(p.Conf, conf, 0o600); err != nil {
+			return errors.Wrap(err, p.Name)
+		}
+	}
+	return nil
+}
+
+// add starts a process of a machine.
+func (s *System) add(role, machine, name, ip string, metrics int, conf string) error {
+	const path = "metrics"
+	figures := fmt.Sprintf("%d/%s", s.base+metrics, path)
+	program := s.options.Program
+	p := &Process{Name: name, Machine: machine, Role: role, Log: filepath.Join(s.dir, name+".log"), Conf: filepath.Join(s.dir, name+".conf"),
+		Metrics: "http://" + at(ip, s.base+metrics) + "/" + path, env: s.options.Env,
+		program: append(program[:len(program):len(program)], role, "--metrics", figures)}
+	if err := os.WriteFile(p.Conf, []byte(conf), 0o600); err != nil {
+		return errors.Wrap(err, name)
+	}
+	if err := p.Start(); err != nil {
+		return err
+	}
+	s.Processes = append(s.Processes, p)
+	return nil
+}
+
+// zones is how many there are.
+const zones = 3
+
+func zone(i int) string { return fmt.Sprint("zone-", i%zones) }
 
 func shard(i int) string { return fmt.Sprint("shard-", i) }
 
+// seedsMost is how many controllers a settings file names.
+const seedsMost = 3
+
 func (s *System) settings(node, class, ip string, i, ports int) string {
 	return fmt.Sprintf(`node-name=%s
 machine-class=%s
@@ -168,45 +291,18 @@
 beat-period-ms=%d
 tolerance.machine-losses=1
 bounds.grace-s=%g
-`, node, class, ip, zone(i), ports, ports+rangeLength-1, strings.Join(s.Control, ","), beatPeriod.Milliseconds(), grace.Seconds())
-}
-
-// Config is the operator's configuration: a fan-out and a single service; from version 2 on also a route /later/.
-func Config(version int) []byte {
-	route := func(name string, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "host": host, "path-prefix": "/" + name + "/", "mode": "idempotent", "horizon-ms": 2000,
-			"setpoint-ms": 200, "rank": 1, "retries": 2}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	var names []string
-	plants := []map[string]any{{"name": single, "probe-path": "/health", "conn-limit": 100}}
-	for i := range shards {
-		names = append(names, shard(i))
-		plants = append(plants, map[string]any{"name": shard(i), "probe-path": "/health", "conn-limit": 100})
-	}
-	routes := []map[string]any{
-		route("fan", map[string]any{"fan-out": names, "top-k": topK, "min-coverage": 0.6}),
-		route("single", map[string]any{"plant": single, "mode": "non_idempotent", "rank": 0}),
-	}
-	if version > 1 {
-		routes = append(routes, route("later", map[string]any{"plant": single}))
-	}
-	b, err := json.MarshalIndent(map[string]any{"config-version": version, "routes": routes, "plants": plants}, "", "  ")
-	if err != nil {
-		panic(err) // nothing in it can fail
-	}
-	return b
+lab-relay=%s
+%s
+`, node, class, ip, zone(i), ports, ports+rangeLength-1, strings.Join(s.Control[:min(seedsMost, len(s.Control))], ","), beatPeriod.Milliseconds(),
+		grace.Seconds(), s.options.Relay, s.options.Settings)
 }
 
 // until waits for a condition, or for what makes it impossible.
 func (s *System) until(ctx context.Context, what string, is func() bool) error {
 	for !is() {
-		for _, p := range s.processes {
-			if p.gone() && !p.asked {
-				return errors.Errorf("till %s: %s ended: %v", what, p.name, p.err)
+		for _, p := range s.Processes {
+			if err := p.Fault(); err != nil {
+				return errors.Wrapf(err, "till %s", what)
 			}
 		}
 		select {
@@ -250,10 +346,10 @@
 	if err != nil {
 		return "", errors.Wrap(err, "who leads")
 	}
-	for i := range controllers {
+	for i := range s.options.Controllers {
 		if controllerIP(i) == leads {
-			s.processes[i].kill()
-			return s.processes[i].name, nil
+			s.Processes[i].Kill()
+			return s.Processes[i].Name, nil
 		}
 	}
 	return "", errors.Errorf("no controller has the address %s", leads)
@@ -261,7 +357,7 @@
 
 // Stop ends everything and removes the folder.
 func (s *System) Stop() error {
-	err := end(s.processes, grace+3*time.Second)
+	err := end(s.Processes, grace+3*time.Second)
 	for _, x := range s.Searchers {
 		x.Close()
 	}
@@ -271,10 +367,10 @@
 	if s.client != nil {
 		s.client.Close()
 	}
-	if bad := os.RemoveAll(s.dir); bad != nil {
-		err = errors.Join(err, bad)
+	if s.options.Dir != "" {
+		return err
 	}
-	return err
+	return errors.Join(err, os.RemoveAll(s.dir))
 }
 
 // status asks for a page of the system's host; 0 if there is no answer.
