lab soak: a real system under a schedule of troubles drawn from a seed, judged from outside

A first run with searcher-drain alone told of a budget overdrawn: a fault of the soak, whose searchers' ids came from ports that are used again; each life has an id of its own now.

--- a/cmd/peathollow/lab.go
+++ b/cmd/peathollow/lab.go
@@ -16,7 +16,7 @@
 
 // lab holds measurements that need processes of this program, and no system that serves.
 func lab() *cli.Command {
-	return group("lab", "Measure the system on this machine", labScale(), labHollow())
+	return group("lab", "Measure the system on this machine", labScale(), labSoak(), labHollow())
 }
 
 func labScale() *cli.Command {
--- a/cmd/peathollow/trysystem.go
+++ b/cmd/peathollow/trysystem.go
@@ -110,8 +110,8 @@
 		if err != nil {
 			return err
 		}
-		s.Searchers[0].Mute()
-		fmt.Fprintf(out, "%s, which led, is killed; searcher %s falls silent\n", name, s.Searchers[0].ID())
+		s.Searchers()[0].Mute()
+		fmt.Fprintf(out, "%s, which led, is killed; searcher %s falls silent\n", name, s.Searchers()[0].ID())
 	}
 	began := time.Now()
 	if err := s.Change(changing, 2); err != nil {
--- a/internal/standin/berths/clients.go
+++ b/internal/standin/berths/clients.go
@@ -154,15 +154,15 @@
 		wait, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
 		return 0, promise || idempotent, time.Duration(wait * float64(time.Second)), errors.Errorf("front %s: status %d", to, res.StatusCode)
 	case kind == single:
-		return 0, false, 0, rightSingle(l.system.ids(single), id, path, res.Header, body)
+		return 0, false, 0, RightSingle(l.system.ids(single), id, path, res.Header, body)
 	}
-	missing, err = rightFan(l.system, id, path, res.Header, body)
+	missing, err = l.system.RightFan(id, path, res.Header, body)
 	return missing, false, 0, err
 }
 
 // ids are the searchers of a service.
 func (s *System) ids(service string) (ids []string) {
-	for _, x := range s.Searchers {
+	for _, x := range s.Searchers() {
 		if x.service == service {
 			ids = append(ids, x.ID())
 		}
@@ -170,8 +170,8 @@
 	return ids
 }
 
-// rightSingle says what is wrong with an answer that one searcher should have given.
-func rightSingle(ids []string, attempt, path string, h http.Header, body []byte) error {
+// RightSingle says what is wrong with an answer that one searcher should have given.
+func RightSingle(ids []string, attempt, path string, h http.Header, body []byte) error {
 	for _, id := range ids {
 		if h.Get("Answer-Seal") == rude.Seal(id, attempt) {
 			if string(body) != string(rude.Records(id, path, 4)) {
@@ -183,8 +183,8 @@
 	return errors.Errorf("seal %q is of no searcher", h.Get("Answer-Seal"))
 }
 
-// rightFan says what is wrong with a gathered answer, and how many parts it lacks.
-func rightFan(s *System, attempt, path string, h http.Header, body []byte) (missing int, err error) {
+// RightFan says what is wrong with a gathered answer, and how many parts it lacks.
+func (s *System) RightFan(attempt, path string, h http.Header, body []byte) (missing int, err error) {
 	missing, _ = strconv.Atoi(h.Get("Missing-Parts"))
 	var records []string
 	in := 0
@@ -215,5 +215,5 @@
 
 // Twice names the requests that must not run twice and did.
 func (s *System) Twice() []string {
-	return s.ledger.Twice(func(id string) bool { return !strings.HasPrefix(id, single) })
+	return s.Ledger.Twice(func(id string) bool { return !strings.HasPrefix(id, single) })
 }
--- a/internal/standin/berths/clients_test.go
+++ b/internal/standin/berths/clients_test.go
@@ -19,15 +19,15 @@
 			server, err := rude.Start(rude.Options{})
 			must.NoError(t, err)
 			defer server.Close()
-			s.Searchers = append(s.Searchers, &Searcher{Server: server, service: service})
+			s.Add(&Searcher{Server: server, service: service})
 		}
 	}
 	const id, path = "fan-1-0", "/fan/1"
 	parts := func(searchers ...int) (http.Header, []byte) {
 		var seals, records []string
 		for _, i := range searchers {
-			seals = append(seals, rude.Seal(s.Searchers[i].ID(), id))
-			for all := rude.Records(s.Searchers[i].ID(), path, 4); len(all) > 0; all = all[16:] {
+			seals = append(seals, rude.Seal(s.Searchers()[i].ID(), id))
+			for all := rude.Records(s.Searchers()[i].ID(), path, 4); len(all) > 0; all = all[16:] {
 				records = append(records, string(all[:16]))
 			}
 		}
@@ -37,11 +37,11 @@
 			[]byte(strings.Join(records[:min(topK, len(records))], ""))
 	}
 	h, body := parts(0, 2, 4)
-	missing, err := rightFan(s, id, path, h, body)
+	missing, err := s.RightFan(id, path, h, body)
 	must.NoError(t, err)
 	must.Eq(t, 0, missing)
 	two, fewer := parts(1, 3)
-	missing, err = rightFan(s, id, path, two, fewer)
+	missing, err = s.RightFan(id, path, two, fewer)
 	must.NoError(t, err)
 	must.Eq(t, 1, missing)
 
@@ -64,14 +64,14 @@
 		"parts of too many":  {with(two, "Part-Seals", seals), fewer},
 		"a part not counted": {with(h, "Missing-Parts", "1"), body},
 	} {
-		_, err := rightFan(s, id, path, wrong.h, wrong.body)
+		_, err := s.RightFan(id, path, wrong.h, wrong.body)
 		must.Error(t, err, must.Sprint(what))
 	}
 
 	one := s.ids(single)[1]
 	seal := http.Header{"Answer-Seal": {rude.Seal(one, id)}}
-	must.NoError(t, rightSingle(s.ids(single), id, path, seal, rude.Records(one, path, 4)))
-	must.Error(t, rightSingle(s.ids(single), id, path, seal, rude.Records(one, "/other", 4)))
-	must.Error(t, rightSingle(s.ids(single), "other", path, seal, rude.Records(one, path, 4)))
-	must.Error(t, rightSingle(s.ids(shard(0)), id, path, seal, rude.Records(one, path, 4)))
+	must.NoError(t, RightSingle(s.ids(single), id, path, seal, rude.Records(one, path, 4)))
+	must.Error(t, RightSingle(s.ids(single), id, path, seal, rude.Records(one, "/other", 4)))
+	must.Error(t, RightSingle(s.ids(single), "other", path, seal, rude.Records(one, path, 4)))
+	must.Error(t, RightSingle(s.ids(shard(0)), id, path, seal, rude.Records(one, path, 4)))
 }
--- a/internal/standin/berths/process.go
+++ b/internal/standin/berths/process.go
@@ -65,6 +65,11 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+		return // by itself, or as it was asked before
+	default:
+	}
 	p.asked = p.asked || s == syscall.SIGKILL || s == syscall.SIGTERM
 	p.cmd.Process.Signal(s)
 }
--- a/internal/standin/berths/searcher.go
+++ b/internal/standin/berths/searcher.go
@@ -19,6 +19,7 @@
 	*rude.Server
 	service, zone string
 	capacity      int
+	advertise     string
 	client        *client.Client
 	stop          context.CancelFunc
 	ended         chan struct{}
@@ -33,6 +34,7 @@
 	Service, Zone string
 	Control       []string
 	Period        time.Duration // between two beats
+	Advertise     string        // the address that it tells; its own if empty
 	Server        rude.Options
 }
 
@@ -43,7 +45,10 @@
 		return nil, errors.Wrapf(err, "searcher of %s", o.Service)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Searcher{Server: server, service: o.Service, zone: o.Zone, capacity: max(o.Server.Capacity, 8), client: client.New(o.Control...),
+	if o.Advertise == "" {
+		o.Advertise = server.Addr()
+	}
+	s := &Searcher{Server: server, advertise: o.Advertise, service: o.Service, zone: o.Zone, capacity: max(o.Server.Capacity, 8), client: client.New(o.Control...),
 		stop: stop, ended: make(chan struct{}), state: "ready"}
 	go func() {
 		defer close(s.ended)
@@ -67,7 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	body, err := json.Marshal(map[string]any{"plant": s.service, "address": s.Addr(), "zone": s.zone, "config-version": "stand-in",
+	body, err := json.Marshal(map[string]any{"plant": s.service, "address": s.advertise, "zone": s.zone, "config-version": "stand-in",
 		"capacity": s.capacity, "state": s.state, "warmup-left-ms": 0, "call-count": s.calls})
 	if err != nil {
 		return err
@@ -84,14 +89,16 @@
 	return s.report(ctx)
 }
 
-// Leave tells that it has ended, and ends it.
-func (s *Searcher) Leave(ctx context.Context) error {
+// Delete tells that it has ended, until that is acknowledged, and reports no more; it serves on.
+func (s *Searcher) Delete(ctx context.Context) error {
 	s.hush()
 	_, _, err := s.client.Call(ctx, http.MethodDelete, "/searchers/"+s.ID(), nil)
-	s.Close()
 	return err
 }
 
+// Service is the service that it belongs to.
+func (s *Searcher) Service() string { return s.service }
+
 // Mute has it fall silent: it takes requests, answers none, and reports no more.
 func (s *Searcher) Mute() {
 	s.hush()
--- a/internal/standin/berths/system.go
+++ b/internal/standin/berths/system.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -48,17 +50,19 @@
 
 // System is one that runs.
 type System struct {
-	Control   []string   // of the controllers
-	Fronts    []string   // where clients are served
-	Ready     []string   // where fronts tell that they are ready
-	Processes []*Process // controllers first, then each front's agent and proxy
-	Searchers []*Searcher
+	Control   []string     // of the controllers
+	Fronts    []string     // where clients are served
+	Ready     []string     // where fronts tell that they are ready
+	Processes []*Process   // controllers first, then each front's agent and proxy
+	Ledger    *rude.Ledger // of all searchers
+
+	mu        sync.Mutex
+	searchers []*Searcher
 
 	options Options
 	base    int // the first of its ports
 	dir     string
 	relays  []net.Listener
-	ledger  *rude.Ledger
 	client  *client.Client
 }
 
@@ -101,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{dir: o.Dir, base: base, options: o, ledger: &rude.Ledger{}}
+	s := &System{dir: o.Dir, base: base, options: o, Ledger: &rude.Ledger{}}
 	if s.dir == "" {
 		if s.dir, err = os.MkdirTemp("", "peathollow-try-"); err != nil {
 			return nil, errors.Wrap(err, "folder")
@@ -193,6 +197,20 @@
 	return address, from, nil // an agent, by its own proxy
 }
 
+// Add makes a searcher one of the system's: its answers count as right from then on, and it ends with the system.
+func (s *System) Add(x *Searcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.searchers = append(s.searchers, x)
+}
+
+// Searchers gives all that were added, those that have ended among them.
+func (s *System) Searchers() []*Searcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.searchers)
+}
+
 // serve adds searchers and a configuration, and waits till all fronts are ready.
 func (s *System) serve(ctx context.Context) error {
 	for service := range shards + 1 {
@@ -202,11 +220,11 @@
 		}
 		for i := range copies {
 			x, err := NewSearcher(SearcherOptions{Service: name, Zone: zone(i), Control: s.Control, Period: beatPeriod,
-				Server: rude.Options{Ledger: s.ledger, Queue: 8, Script: busy}})
+				Server: rude.Options{Ledger: s.Ledger, Queue: 8, Script: busy}})
 			if err != nil {
 				return err
 			}
-			s.Searchers = append(s.Searchers, x)
+			s.Add(x)
 		}
 	}
 	if _, err := s.client.Put(ctx, Config(1)); err != nil {
@@ -233,7 +251,10 @@
 	if err := os.RemoveAll(s.disk(machine)); err != nil {
 		return errors.Wrap(err, machine)
 	}
-	return errors.Wrap(os.Mkdir(s.disk(machine), 0o700), machine)
+	if err := os.Mkdir(s.disk(machine), 0o700); err != nil {
+		return errors.Wrap(err, machine)
+	}
+	return nil
 }
 
 // Warm tells in all settings files that the system has started before, as later starts of its processes are to read.
@@ -314,51 +335,10 @@
 	return nil
 }
 
-// Change puts a version and waits till each front routes by it.
-func (s *System) Change(ctx context.Context, version int) error {
-	held, err := s.client.Put(ctx, Config(version))
-	if err != nil {
-		return errors.Wrapf(err, "version %d", version)
-	}
-	if held > uint64(version) {
-		return errors.Errorf("version %d: somebody else has put version %d", version, held)
-	}
-	for i, at := range s.Fronts {
-		n := 0
-		err := s.until(ctx, fmt.Sprintf("front %d routes by version %d", i, version), func() bool {
-			n++
-			return status(ctx, "http://"+at+"/later/", fmt.Sprintf("probe-%d-%d", i, n)) == http.StatusOK
-		})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// KillPrimary kills the controller that leads.
-func (s *System) KillPrimary(ctx context.Context) (string, error) {
-	st, err := s.client.Status(ctx)
-	if err != nil {
-		return "", errors.Wrap(err, "who leads")
-	}
-	leads, _, err := net.SplitHostPort(st.Primary)
-	if err != nil {
-		return "", errors.Wrap(err, "who leads")
-	}
-	for i := range s.options.Controllers {
-		if controllerIP(i) == leads {
-			s.Processes[i].Kill()
-			return s.Processes[i].Name, nil
-		}
-	}
-	return "", errors.Errorf("no controller has the address %s", leads)
-}
-
 // Stop ends everything and removes the folder.
 func (s *System) Stop() error {
 	err := end(s.Processes, grace+3*time.Second)
-	for _, x := range s.Searchers {
+	for _, x := range s.Searchers() {
 		x.Close()
 	}
 	for _, ln := range s.relays {
--- a/internal/standin/rude/ledger.go
+++ b/internal/standin/rude/ledger.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Entry is what became of one request that a searcher read whole.
 type Entry struct {
+	At                     time.Time
 	ID, Method, Path, Host string
 	Searcher               string
 	Conn                   int // which of the searcher's connections
--- /dev/null
+++ b/lab/soak/clients.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"peathollow/internal/standin/berths"
+)
+
+const (
+	patience = 4 * time.Second // of a client, over all its tries
+	triesOf  = 5
+	pauseOf  = 30 * time.Millisecond // after a failure that names no time
+	bodyMost = 4 << 10
+)
+
+// try is one request on the wire.
+type try struct {
+	id, kind, path string
+	front          int
+	sent           time.Time
+	took           time.Duration
+	status         int // 0: no answer
+	fault          string
+	reused         bool
+}
+
+// once tells whether the request may run only once.
+func (t *try) once() bool { return t.kind == single }
+
+// request is what one client wants, in as many tries as it takes.
+type request struct {
+	number int
+	began  time.Time
+	tries  []*try
+	right  bool
+	whole  bool // no part was missing
+}
+
+// load is the clients of a run.
+type load struct {
+	run    *run
+	fronts []string // where they are reached
+	http   *http.Client
+
+	mu       sync.Mutex
+	requests []*request
+	planted  func(*http.Response, []byte) []byte // a fault that a test puts in
+}
+
+func newLoad(r *run, fronts []string) *load {
+	return &load{run: r, fronts: fronts, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 5 * time.Second}}}
+}
+
+// send sends so many requests a second till ctx ends, and waits for those under way.
+func (l *load) send(ctx context.Context, rate int) {
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	defer l.http.CloseIdleConnections()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		all.Go(func() { l.one(n) })
+	}
+}
+
+// one sends a request, again where the protocol lets a client, until it has a right answer or no time.
+func (l *load) one(n int) {
+	kind := []string{"fan", single, "get"}[n%3]
+	q := &request{number: n, began: time.Now()}
+	l.mu.Lock()
+	l.requests = append(l.requests, q)
+	l.mu.Unlock()
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	for k := range triesOf {
+		t := &try{id: fmt.Sprintf("%s-%d-%d", kind, n, k), kind: kind, path: fmt.Sprintf("/%s/%d", kind, n%50), sent: time.Now()}
+		l.mu.Lock()
+		q.tries = append(q.tries, t)
+		l.mu.Unlock()
+		again, pause := l.try(ctx, q, t)
+		if q.right || !again || ctx.Err() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(pause, pauseOf)):
+		}
+	}
+}
+
+// pick chooses a front as the platform does: one that is ready, if any is.
+func (l *load) pick() int {
+	var ready []int
+	for i := range l.fronts {
+		if l.run.fronts[i].in.Load() {
+			ready = append(ready, i)
+		}
+	}
+	if len(ready) == 0 {
+		return rand.IntN(len(l.fronts))
+	}
+	return ready[rand.IntN(len(ready))]
+}
+
+// try makes one try; again tells whether another is allowed.
+func (l *load) try(ctx context.Context, q *request, t *try) (again bool, pause time.Duration) {
+	t.front = l.pick()
+	method, body := http.MethodGet, io.Reader(nil)
+	if t.once() {
+		method, body = http.MethodPost, strings.NewReader(strings.Repeat("b", rand.IntN(bodyMost)))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+l.fronts[t.front]+t.path, body)
+	if err != nil {
+		panic(err) // made of nothing but constants and numbers
+	}
+	until, _ := ctx.Deadline()
+	req.Host = host
+	req.Header.Set("Attempt-Id", t.id)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(time.Until(until).Milliseconds(), 10))
+	res, err := l.http.Do(req)
+	defer func() { t.took = time.Since(t.sent) }()
+	if err != nil {
+		t.fault = err.Error()
+		return !t.once(), 0
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.fault = "body: " + err.Error()
+		return !t.once(), 0
+	}
+	if l.planted != nil {
+		answer = l.planted(res, answer)
+	}
+	t.status = res.StatusCode
+	if res.StatusCode/100 != 2 {
+		promise := promises(res.StatusCode)
+		wait, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		return promise || !t.once(), time.Duration(min(wait, 1) * float64(time.Second))
+	}
+	if t.fault = l.judge(t, res.Header, answer, q); t.fault != "" {
+		l.run.violated("mixed answer: front %d, %s: %s", t.front, t.id, t.fault)
+		return false, 0
+	}
+	q.right = true
+	return false, 0
+}
+
+// promises tells of the statuses that say that a request has not run and never will.
+func promises(status int) bool {
+	return slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, status)
+}
+
+// judge says what is wrong with a success.
+func (l *load) judge(t *try, h http.Header, body []byte, q *request) string {
+	var err error
+	missing := 0
+	if t.kind == "fan" {
+		missing, err = l.run.system.RightFan(t.id, t.path, h, body)
+		if err == nil && missing > 1 {
+			err = errors.Errorf("%d of %d parts are missing", missing, shards) // min-coverage is 0.6
+		}
+	} else {
+		err = berths.RightSingle(l.run.idsOf(single), t.id, t.path, h, body)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	q.whole = missing == 0
+	return ""
+}
+
+// all gives the requests so far.
+func (l *load) all() []*request {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.requests)
+}
--- /dev/null
+++ b/lab/soak/schedule.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds of trouble.
+const (
+	KillProcess     Kind = "kill"             // SIGKILL, started again
+	KillMachine     Kind = "kill-machine"     // all processes of a machine
+	KillCore        Kind = "kill-core"        // all controllers at the same moment
+	KillAll         Kind = "kill-all"         // all processes
+	KillRepeatedly  Kind = "kill-repeatedly"  // a process again and again, soon after its start
+	Freeze          Kind = "freeze"           // SIGSTOP, SIGCONT
+	FreezeMachine   Kind = "freeze-machine"   // all processes of a machine
+	Terminate       Kind = "terminate"        // SIGTERM, started again once it has ended
+	TerminateTwice  Kind = "terminate-twice"  // a second SIGTERM during the first
+	TerminateEarly  Kind = "terminate-early"  // SIGTERM while it starts
+	Reload          Kind = "reload"           // SIGHUP
+	ReloadEarly     Kind = "reload-early"     // SIGHUP while it starts
+	ReloadTorn      Kind = "reload-torn"      // SIGHUP while the settings file is half written, then gone
+	Cut             Kind = "cut"              // between two machines
+	CutOneWay       Kind = "cut-one-way"      // from one machine to another
+	Isolate         Kind = "isolate"          // a machine from all others of the system
+	IsolateOutside  Kind = "isolate-outside"  // a controller from searchers and operators
+	Slow            Kind = "slow"             // a machine's links
+	Reset           Kind = "reset"            // all connections of a machine
+	LoseAnswers     Kind = "lose-answers"     // of controllers to searchers and operators
+	WipeDisk        Kind = "wipe-disk"        // a controller is killed and its disk lost
+	WipeAndKillAll  Kind = "wipe-and-kill"    // the same while all other processes are killed
+	SearcherCrash   Kind = "searcher-crash"   // another takes its place
+	SearcherMute    Kind = "searcher-mute"    // takes requests and says nothing
+	SearcherDrain   Kind = "searcher-drain"   // leaves in order
+	SearcherDelete  Kind = "searcher-delete"  // leaves without saying draining
+	SearcherReplace Kind = "searcher-replace" // crashes; its address goes to another service
+	SearcherRude    Kind = "searcher-rude"    // misbehaves on the wire
+	SearcherReset   Kind = "searcher-reset"   // its connections are reset
+	Race            Kind = "race"             // two operators send different configurations under one version
+	Storm           Kind = "storm"            // configurations in quick succession
+	Abuse           Kind = "abuse"            // clients that do what no client should
+)
+
+// Kinds are all there are.
+var Kinds = []Kind{KillProcess, KillMachine, KillCore, KillAll, KillRepeatedly, Freeze, FreezeMachine, Terminate, TerminateTwice, TerminateEarly,
+	Reload, ReloadEarly, ReloadTorn, Cut, CutOneWay, Isolate, IsolateOutside, Slow, Reset, LoseAnswers, WipeDisk, WipeAndKillAll,
+	SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, Race, Storm, Abuse}
+
+// Planned are those after which no request of a client may be lost.
+var Planned = []Kind{Terminate, TerminateTwice, Reload, ReloadTorn, SearcherDrain, SearcherDelete, Race, Storm}
+
+// ParseKinds reads a list of kinds; "planned" stands for those of planned work.
+func ParseKinds(text string) (kinds []Kind, err error) {
+	for word := range strings.SplitSeq(text, ",") {
+		switch word = strings.TrimSpace(word); {
+		case word == "":
+		case word == "planned":
+			kinds = append(kinds, Planned...)
+		case slices.Contains(Kinds, Kind(word)):
+			kinds = append(kinds, Kind(word))
+		default:
+			return nil, errors.Errorf("trouble %q: expected planned or some of %v", word, Kinds)
+		}
+	}
+	return kinds, nil
+}
+
+// Shape says how large the system of a run is.
+type Shape struct{ Controllers, Fronts int }
+
+// Trouble is one entry of a schedule.
+type Trouble struct {
+	At   time.Duration
+	For  time.Duration
+	Kind Kind
+	// One, Two and Chance choose what it strikes; each kind reads them in its own way.
+	One, Two, Chance int
+}
+
+func (t Trouble) String() string {
+	return fmt.Sprintf("%8.3f s  %-17s for %5.3f s (%d, %d, %d)", t.At.Seconds(), t.Kind, t.For.Seconds(), t.One, t.Two, t.Chance)
+}
+
+// Schedule is all trouble of a run, in order.
+type Schedule struct {
+	Shape    Shape
+	Troubles []Trouble
+}
+
+const (
+	firstAt      = 300 * time.Millisecond
+	gapMean      = 700 * time.Millisecond
+	shortest     = 50 * time.Millisecond
+	longest      = 4 * time.Second
+	wipesApart   = 15 * time.Second // of disks: one may be lost at a time, and the next once the first is made good
+	wipeRoom     = 3 * time.Second  // from any wipe to the end of the trouble
+	chooseAmong  = 1 << 16
+	atOnceUsual  = 3
+	longShare    = 8 // one trouble in so many takes the longest time
+	shapeChances = 4
+)
+
+// Draw draws a schedule. The same seed, length and kinds give the same one.
+func Draw(seed uint64, length time.Duration, kinds []Kind) Schedule {
+	if len(kinds) == 0 {
+		kinds = Kinds
+	}
+	random := rand.New(rand.NewPCG(seed, uint64(len(kinds))))
+	s := Schedule{Shape: Shape{Controllers: 3, Fronts: 2}}
+	if random.IntN(shapeChances) == 0 {
+		s.Shape = Shape{Controllers: 5, Fronts: 3 + random.IntN(2)}
+	}
+	var ends []time.Duration // of what is under way
+	wiped := -wipesApart
+	for at := firstAt; at < length; at += time.Duration(random.ExpFloat64() * float64(gapMean)) {
+		t := Trouble{At: at, Kind: kinds[random.IntN(len(kinds))], One: random.IntN(chooseAmong), Two: random.IntN(chooseAmong),
+			Chance: random.IntN(chooseAmong)}
+		t.For = shortest + time.Duration(random.Float64()*random.Float64()*float64(longest-shortest))
+		if random.IntN(longShare) == 0 {
+			t.For = longest
+		}
+		ends = slices.DeleteFunc(ends, func(end time.Duration) bool { return end <= at })
+		if len(ends) >= atOnceUsual {
+			continue
+		}
+		if t.Kind == WipeDisk || t.Kind == WipeAndKillAll {
+			if at-wiped < wipesApart || at+wipeRoom > length {
+				continue
+			}
+			wiped = at
+		}
+		ends = append(ends, at+t.For)
+		s.Troubles = append(s.Troubles, t)
+	}
+	return s
+}
--- /dev/null
+++ b/lab/soak/searchers.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/rude"
+)
+
+const (
+	beatEvery  = 400 * time.Millisecond
+	drainTime  = 3 * time.Second // for which a searcher serves on after its leaving was acknowledged
+	serveOn    = drainTime + time.Second
+	leaveMost  = 8 * time.Second // for an acknowledgement; then it ends all the same
+	reuseDelay = 2 * time.Second
+	workMost   = 10 * time.Millisecond
+	queueMost  = 16
+	zones      = 3
+)
+
+// searcher is one life of a searcher, behind an address that outlives it.
+type searcher struct {
+	*berths.Searcher
+	place *place
+	acked atomic.Int64 // when it was acknowledged that it leaves, in Unix nanoseconds
+	ended atomic.Int64 // when it ended, by plan or not
+}
+
+// place is an address at which searchers live one after the other.
+type place struct {
+	address string
+	now     atomic.Pointer[searcher]
+}
+
+// populate starts the first searchers.
+func (r *run) populate() error {
+	for _, service := range services() {
+		for range copies {
+			if _, err := r.born(service, nil); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// born starts a searcher, at a place of its own if none is given.
+func (r *run) born(service string, p *place) (*searcher, error) {
+	if p == nil {
+		p = &place{}
+		address, err := r.network.open(fronts, func() (string, string) {
+			s := p.now.Load()
+			return s.Addr(), s.ID()
+		})
+		if err != nil {
+			return nil, err
+		}
+		p.address = address
+	}
+	b, err := berths.NewSearcher(berths.SearcherOptions{Service: service, Zone: zoneName(rand.IntN(zones)), Control: r.searcherDoors,
+		Period: beatEvery, Advertise: p.address, Server: rude.Options{ID: fmt.Sprint("i-", r.births.Add(1)), Ledger: r.system.Ledger, Queue: queueMost, Script: work, TellLoad: true}})
+	if err != nil {
+		return nil, err
+	}
+	s := &searcher{Searcher: b, place: p}
+	p.now.Store(s)
+	r.system.Add(b)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.searchers = append(r.searchers, s)
+	return s, nil
+}
+
+func zoneName(i int) string { return []string{"zone-0", "zone-1", "zone-2"}[i] }
+
+// work takes a few milliseconds for each request.
+func work(rude.Call) rude.Reply { return rude.Reply{Work: time.Duration(rand.Int64N(int64(workMost)))} }
+
+// idsOf gives the searchers that a service ever had.
+func (r *run) idsOf(service string) (ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.searchers {
+		if s.Service() == service {
+			ids = append(ids, s.ID())
+		}
+	}
+	return ids
+}
+
+// takeOne takes a searcher out of those that may be struck, if its service keeps enough others; nil if none may.
+func (r *run) takeOne(choice int) *searcher {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sound := map[string]int{}
+	var may []*searcher
+	for _, s := range r.searchers {
+		if !r.struck[s] {
+			sound[s.Service()]++
+		}
+	}
+	for _, s := range r.searchers {
+		if !r.struck[s] && sound[s.Service()] > 1 {
+			may = append(may, s)
+		}
+	}
+	if len(may) == 0 {
+		return nil
+	}
+	s := may[choice%len(may)]
+	r.struck[s] = true
+	return s
+}
+
+func (r *run) giveBack(s *searcher) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.struck, s)
+}
+
+// end ends a searcher like a crash.
+func (s *searcher) end() {
+	s.ended.Store(time.Now().UnixNano())
+	s.Close()
+}
+
+// replace starts another searcher of a service.
+func (r *run) replace(service string, p *place) {
+	if _, err := r.born(service, p); err != nil {
+		r.violated("soak: searcher of %s: %v", service, err)
+	}
+}
+
+// crash ends a searcher; another of its service starts after a while.
+func (r *run) crash(s *searcher, after time.Duration) {
+	s.end()
+	r.pause(after)
+	r.replace(s.Service(), nil)
+}
+
+// mute has a searcher say nothing, then end.
+func (r *run) mute(s *searcher, span time.Duration) {
+	s.Mute()
+	r.pause(span)
+	r.crash(s, 0)
+}
+
+// leave has a searcher leave in order, by draining first or by DELETE alone.
+func (r *run) leave(s *searcher, draining bool) {
+	r.replace(s.Service(), nil)
+	ctx, stop := context.WithTimeout(context.Background(), leaveMost)
+	defer stop()
+	var err error
+	if draining {
+		err = s.Drain(ctx)
+	} else {
+		err = s.Delete(ctx)
+	}
+	if err == nil {
+		s.acked.Store(time.Now().UnixNano())
+		r.pause(serveOn)
+	}
+	if draining {
+		s.Delete(ctx)
+	}
+	s.end()
+}
+
+// reuse has a searcher crash and its address go to one of another service, which comes back under its own later.
+func (r *run) reuse(s *searcher, choice int) {
+	s.end()
+	r.pause(reuseDelay)
+	others := services()
+	service := others[choice%len(others)]
+	r.replace(service, s.place)
+	if service != s.Service() {
+		r.replace(s.Service(), nil)
+	}
+}
+
+// misbehave has a searcher break the protocol in some ways for a while.
+func (r *run) misbehave(s *searcher, span time.Duration, choice int) {
+	ways := []rude.Way{rude.Refuse, rude.RefuseNoID, rude.ResetUnrun, rude.ResetRun, rude.CloseRun, rude.CutHead, rude.CutBody, rude.Spoil,
+		rude.WrongID, rude.NoID, rude.NoSeal, rude.Trickle, rude.Chunked, rude.BadChunks, rude.BothLengths, rude.NoLength, rude.UntilClose,
+		rude.ShortLength, rude.Surplus, rude.ExtraNow, rude.ExtraLate, rude.CloseAfter, rude.CloseUnsaid, rude.Hang}
+	some := []rude.Way{ways[choice%len(ways)], ways[choice/len(ways)%len(ways)], rude.Good}
+	s.SetScript(func(c rude.Call) rude.Reply {
+		reply := work(c)
+		reply.Way = some[rand.IntN(len(some))]
+		return reply
+	})
+	r.pause(span)
+	s.SetScript(work)
+	r.giveBack(s)
+}
--- /dev/null
+++ b/lab/soak/troubles.go
@@ -0,0 +1,349 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"peathollow/internal/standin/berths"
+)
+
+const (
+	startDelay    = 150 * time.Millisecond // of a process after its end, as the platform gives it
+	graceTime     = 5 * time.Second        // from SIGTERM to SIGKILL
+	earlySignalAt = 8 * time.Millisecond   // after a start
+	slowness      = 120 * time.Millisecond
+	tornFor       = 300 * time.Millisecond
+	stormGap      = 50 * time.Millisecond
+	repeatMost    = 5
+)
+
+// inflicted is a trouble as it was done: when, and to whom; to everybody if strikes is nil.
+type inflicted struct {
+	from, to time.Time
+	strikes  func(machine string) bool
+}
+
+// inflict does one trouble and returns once it is over and what it struck runs again.
+func (r *run) inflict(t Trouble) {
+	who := r.strikes(t)
+	r.mu.Lock()
+	in := &inflicted{from: time.Now(), strikes: who}
+	r.inflicted = append(r.inflicted, in)
+	r.mu.Unlock()
+	r.note("begin %v", t)
+	r.do(t)
+	r.note("end   %v", t)
+	r.mu.Lock()
+	in.to = time.Now()
+	r.mu.Unlock()
+}
+
+// strikes says which machines a trouble touches: trouble of searchers, operators and clients touches none.
+func (r *run) strikes(t Trouble) func(machine string) bool {
+	switch t.Kind {
+	case SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, Race, Storm, Abuse, LoseAnswers:
+		return func(string) bool { return false }
+	case KillProcess, KillRepeatedly, Freeze, Terminate, TerminateTwice, TerminateEarly, Reload, ReloadEarly, ReloadTorn:
+		return r.only(r.oneOf(t.One).Machine)
+	case KillMachine, FreezeMachine, Isolate, Slow, Reset:
+		return r.only(r.machine(t.One))
+	}
+	return nil
+}
+
+// only tells of a machine of its own; one of the core touches all.
+func (r *run) only(struck string) func(string) bool {
+	if strings.HasPrefix(struck, "core") {
+		return nil
+	}
+	return func(machine string) bool { return machine == struck }
+}
+
+func (r *run) oneOf(choice int) *berths.Process {
+	return r.system.Processes[choice%len(r.system.Processes)]
+}
+
+func (r *run) machine(choice int) string { return r.oneOf(choice).Machine }
+
+func (r *run) controller(choice int) *berths.Process {
+	return r.system.Processes[choice%r.schedule.Shape.Controllers]
+}
+
+// ofMachine gives a machine's processes.
+func (r *run) ofMachine(machine string) (all []*berths.Process) {
+	for _, p := range r.system.Processes {
+		if p.Machine == machine {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+func (r *run) do(t Trouble) {
+	switch t.Kind {
+	case KillProcess:
+		r.kill(t.For, nil, r.oneOf(t.One))
+	case KillMachine:
+		r.kill(t.For, nil, r.ofMachine(r.machine(t.One))...)
+	case KillCore:
+		r.kill(startDelay, nil, r.system.Processes[:r.schedule.Shape.Controllers]...)
+	case KillAll:
+		r.kill(startDelay, nil, r.system.Processes...)
+	case KillRepeatedly:
+		for range 2 + t.Chance%(repeatMost-1) {
+			r.kill(startDelay, nil, r.oneOf(t.One))
+			r.pause(t.For / repeatMost)
+		}
+	case Freeze:
+		r.freeze(t.For, r.oneOf(t.One))
+	case FreezeMachine:
+		r.freeze(t.For, r.ofMachine(r.machine(t.One))...)
+	case Terminate:
+		r.terminate(r.oneOf(t.One), 0)
+	case TerminateTwice:
+		r.terminate(r.oneOf(t.One), time.Duration(t.Chance%500)*time.Millisecond+time.Millisecond)
+	case TerminateEarly:
+		r.early(r.oneOf(t.One), syscall.SIGTERM, t.Chance)
+	case Reload:
+		r.oneOf(t.One).Signal(syscall.SIGHUP)
+	case ReloadEarly:
+		r.early(r.oneOf(t.One), syscall.SIGHUP, t.Chance)
+	case ReloadTorn:
+		r.torn(r.oneOf(t.One))
+	case WipeDisk, WipeAndKillAll:
+		r.wipe(t)
+	case Race:
+		r.operators.race(r.ctx)
+	case Storm:
+		r.storm(t.For)
+	case Abuse:
+		r.abuse(t.For, t.Chance)
+	default:
+		if !r.doToLinks(t) {
+			r.doToSearcher(t)
+		}
+	}
+}
+
+// doToLinks does what goes wrong between processes; false if the trouble is of another kind.
+func (r *run) doToLinks(t Trouble) bool {
+	one, two := r.machine(t.One), r.machine(t.Two)
+	c := condition{hold: true}
+	switch t.Kind {
+	case Cut:
+		c.applies = func(from, to string) bool { return from == one && to == two || from == two && to == one }
+	case CutOneWay:
+		c.applies = func(from, to string) bool { return from == one && to == two }
+	case Isolate:
+		c.applies = func(from, to string) bool {
+			return from != to && (from == one || to == one) && ofSystem(from) && ofSystem(to)
+		}
+	case IsolateOutside:
+		one = r.controller(t.One).Machine
+		c.applies = func(from, to string) bool { return from == outside && to == one || from == one && to == outside }
+	case Slow:
+		c.hold, c.delay = false, slowness
+		c.applies = func(from, to string) bool { return from != to && (from == one || to == one) }
+	case LoseAnswers:
+		c.hold, c.lose = false, true
+		c.applies = func(_, to string) bool { return to == outside }
+	case Reset:
+		r.network.reset(func(caller, callee string) bool { return caller == one || callee == one })
+		return true
+	default:
+		return false
+	}
+	r.network.impose(c, func() { r.pause(t.For) })
+	return true
+}
+
+// ofSystem tells machines of the system from searchers, clients and operators.
+func ofSystem(name string) bool {
+	return strings.HasPrefix(name, "core-") || strings.HasPrefix(name, "front-")
+}
+
+func (r *run) doToSearcher(t Trouble) {
+	s := r.takeOne(t.One)
+	if s == nil {
+		return
+	}
+	switch t.Kind {
+	case SearcherCrash:
+		r.crash(s, t.For)
+	case SearcherMute:
+		r.mute(s, t.For)
+	case SearcherDrain:
+		r.leave(s, true)
+	case SearcherDelete:
+		r.leave(s, false)
+	case SearcherReplace:
+		r.reuse(s, t.Chance)
+	case SearcherRude:
+		r.misbehave(s, t.For, t.Chance)
+	case SearcherReset:
+		s.Break()
+		r.giveBack(s)
+	}
+}
+
+// kill kills processes at the same moment and starts them again; between runs meanwhile.
+func (r *run) kill(down time.Duration, between func(), all ...*berths.Process) {
+	held := r.hold(all)
+	defer held.release()
+	for _, p := range all {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range all {
+		<-p.Ended()
+	}
+	if between != nil {
+		between()
+	}
+	r.pause(down)
+	r.startAll(all)
+}
+
+func (r *run) startAll(all []*berths.Process) {
+	for _, p := range all {
+		r.ending(p)
+		if err := p.Start(); err != nil {
+			r.violated("soak: %v", err)
+		}
+	}
+}
+
+// ending looks at how a life ended.
+func (r *run) ending(p *berths.Process) {
+	if err := p.Fault(); err != nil {
+		r.violated("ended by itself: %v", err)
+	}
+}
+
+// freeze stops processes and lets them go on.
+func (r *run) freeze(span time.Duration, all ...*berths.Process) {
+	held := r.hold(all)
+	defer held.release()
+	for _, p := range all {
+		p.Signal(syscall.SIGSTOP)
+	}
+	r.pause(span)
+	for _, p := range all {
+		p.Signal(syscall.SIGCONT)
+	}
+}
+
+// terminate stops a process in order, with a second SIGTERM after a while if one is given, and starts it again.
+func (r *run) terminate(p *berths.Process, again time.Duration) {
+	held := r.hold([]*berths.Process{p})
+	defer held.release()
+	p.Signal(syscall.SIGTERM)
+	if again > 0 {
+		r.pause(again)
+		p.Signal(syscall.SIGTERM)
+	}
+	select {
+	case <-p.Ended():
+	case <-time.After(graceTime):
+		r.violated("did not end: %s, %v after SIGTERM", p.Name, graceTime)
+		p.Kill()
+	}
+	r.pause(startDelay)
+	r.startAll([]*berths.Process{p})
+}
+
+// early sends a signal to a process that has just been started.
+func (r *run) early(p *berths.Process, s syscall.Signal, chance int) {
+	r.kill(startDelay, nil, p)
+	held := r.hold([]*berths.Process{p})
+	defer held.release()
+	time.Sleep(time.Duration(chance) * time.Microsecond % earlySignalAt)
+	p.Signal(s)
+	if s == syscall.SIGHUP {
+		return
+	}
+	select {
+	case <-p.Ended():
+	case <-time.After(graceTime):
+		r.violated("did not end: %s, %v after an early SIGTERM", p.Name, graceTime)
+		p.Kill()
+	}
+	r.startAll([]*berths.Process{p})
+}
+
+// torn has a process told that its settings have changed while the file is half written, then gone.
+func (r *run) torn(p *berths.Process) {
+	held := r.hold([]*berths.Process{p}) // nobody starts it meanwhile
+	defer held.release()
+	whole, err := os.ReadFile(p.Conf)
+	if err != nil {
+		r.violated("soak: %v", err)
+		return
+	}
+	os.WriteFile(p.Conf, whole[:len(whole)/2], 0o600)
+	p.Signal(syscall.SIGHUP)
+	r.pause(tornFor)
+	os.Remove(p.Conf)
+	p.Signal(syscall.SIGHUP)
+	r.pause(tornFor)
+	if err := os.WriteFile(p.Conf, whole, 0o600); err != nil {
+		r.violated("soak: %v", err)
+	}
+	p.Signal(syscall.SIGHUP)
+}
+
+// wipe kills a controller, alone or with all other processes, and has its disk lost.
+func (r *run) wipe(t Trouble) {
+	p := r.controller(t.One)
+	all := []*berths.Process{p}
+	if t.Kind == WipeAndKillAll {
+		all = r.system.Processes
+	}
+	r.kill(startDelay, func() {
+		if err := r.system.Wipe(p.Machine); err != nil {
+			r.violated("soak: %v", err)
+		}
+	}, all...)
+}
+
+// storm sends configurations in quick succession.
+func (r *run) storm(span time.Duration) {
+	var all sync.WaitGroup
+	for end := time.Now().Add(span); time.Now().Before(end) && r.ctx.Err() == nil; r.pause(stormGap) {
+		all.Go(func() { r.operators.change(r.ctx) })
+	}
+	all.Wait()
+}
+
+// held are processes that no other trouble starts or stops meanwhile.
+type held struct{ locks []*sync.Mutex }
+
+// hold waits until no other trouble has any of the processes, in one order for all.
+func (r *run) hold(all []*berths.Process) held {
+	var h held
+	for i, p := range r.system.Processes {
+		for _, x := range all {
+			if x == p {
+				r.locks[i].Lock()
+				h.locks = append(h.locks, &r.locks[i])
+			}
+		}
+	}
+	return h
+}
+
+func (h held) release() {
+	for _, l := range h.locks {
+		l.Unlock()
+	}
+}
+
+// pause waits; shorter if the run is called off.
+func (r *run) pause(d time.Duration) {
+	ctx, stop := context.WithTimeout(r.ctx, d)
+	defer stop()
+	<-ctx.Done()
+}
