--- a/agent/figures.go
+++ b/agent/figures.go
@@ -21,7 +21,7 @@
 	alone bool
 }
 
-func (l *link) answered(peer string, cargo *distribution.Cargo) {
+func (l *link) answered(peer string, cargo *distribution.Cargo, _ time.Time) {
 	l.answers.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/controlplane/contact.go
+++ b/controlplane/contact.go
@@ -27,8 +27,8 @@
 	confirmed bool // in touch, and what is in force was learned since
 }
 
-// answers notes that a controller has answered a pull.
-func (h *Controller) answers(addr string) {
+// answers notes that a controller has answered a pull, asked at some time.
+func (h *Controller) answers(addr string, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.answered[addr] = time.Now()
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -294,7 +294,7 @@
 			ctx, stop := context.WithCancel(h.core.mail.ctx)
 			h.pulls[at] = stop
 			p := distribution.Puller{Board: h.board, Node: h.set.Node, Life: h.life, IP: h.set.IP, Kind: "controller", Peer: true, Say: h.say,
-				Choose: func(int) string { return at }, Merged: func() { h.answers(at) }, Keeps: h.keeps, Network: h.network}
+				Choose: func(int) string { return at }, Answered: func(_ string, _ *distribution.Cargo, asked time.Time) { h.answers(at, asked) }, Keeps: h.keeps, Network: h.network}
 			go p.Run(ctx)
 		}
 	}
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -164,8 +164,8 @@
 	Choose func(tried int) string
 	// Merged is called after each answer that changed something; may be nil.
 	Merged func()
-	// Answered is told of each answer; may be nil.
-	Answered func(peer string, cargo *Cargo)
+	// Answered is told of each answer, and when its ask was sent; may be nil.
+	Answered func(peer string, cargo *Cargo, asked time.Time)
 	// Fault is told why a link ended; may be nil.
 	Fault func(peer string, err error)
 	// Peer says that one controller pulls from another.
@@ -236,7 +236,8 @@
 		a := p.ask(by, first, whole, alone)
 		first = false
 		a.Mend, a.Want.Have, a.Kept = mend, risen(a.Want.Have, told), kept
-		c.SetDeadline(time.Now().Add(silenceMost))
+		asked := time.Now()
+		c.SetDeadline(asked.Add(silenceMost))
 		if err := out.Encode(&a); err != nil {
 			return answered, errors.Wrapf(err, "ask, peer %s", addr)
 		}
@@ -252,7 +253,7 @@
 			clear(p.lives)
 		}
 		if p.Answered != nil {
-			p.Answered(addr, &cargo)
+			p.Answered(addr, &cargo, asked)
 		}
 		p.lives[addr] = by // a link made anew goes on where this one ends
 		unfit := p.Board.take(&cargo, p.Peer, time.Now())
