--- a/internal/standin/berths/system.go
+++ b/internal/standin/berths/system.go
@@ -101,11 +101,11 @@
 }
 
 func launchAt(o Options) (*System, error) {
-	base, err := freeBase()
+	base, reservation, err := reserveBase()
 	if err != nil {
 		return nil, err
 	}
-	s := &System{dir: o.Dir, base: base, options: o, Ledger: &rude.Ledger{}}
+	s := &System{dir: o.Dir, base: base, relays: []net.Listener{reservation}, options: o, Ledger: &rude.Ledger{}}
 	if s.dir == "" {
 		if s.dir, err = os.MkdirTemp("", "peathollow-try-"); err != nil {
 			return nil, errors.Wrap(err, "folder")
@@ -194,6 +194,11 @@
 			return at(ip, port), fmt.Sprint("core-", i), nil
 		}
 	}
+	for i := range s.options.Fronts {
+		if ip == frontIP(i) {
+			return address, fmt.Sprint("front-", i), nil
+		}
+	}
 	return address, from, nil // an agent, by its own proxy
 }
 
@@ -211,6 +216,12 @@
 	return slices.Clone(s.searchers)
 }
 
+// Place gives an address that is the caller's for as long as the system is there.
+func (s *System) Place(i int) string {
+	const first, perBlock = 1, 250
+	return at(fmt.Sprintf("127.0.%d.%d", first+i/perBlock, 1+i%perBlock), s.base+portOthers)
+}
+
 // serve adds searchers and a configuration, and waits till all fronts are ready.
 func (s *System) serve(ctx context.Context) error {
 	for service := range shards + 1 {
--- a/lab/soak/abuse.go
+++ b/lab/soak/abuse.go
@@ -4,8 +4,9 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"time"
+
+	"peathollow/internal/keepalive"
 )
 
 const (
@@ -63,7 +64,8 @@
 }
 
 func (r *run) abuseOnce(which, then int) {
-	c, err := net.DialTimeout("tcp", r.clientDoors[rand.IntN(len(r.clientDoors))], abuseWithin)
+	dial := keepalive.TCP{Relay: r.through, From: clients}
+	c, err := dial.Dial(r.ctx, r.system.Fronts[rand.IntN(len(r.system.Fronts))], abuseWithin, abuseWithin)
 	if err != nil {
 		return
 	}
--- a/lab/soak/fronts.go
+++ b/lab/soak/fronts.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		id := r.probeID()
-		status := r.get(ctx, "http://"+r.clientDoors[i]+versionPath(version)+"x", id)
+		status := r.get(ctx, "http://"+r.system.Fronts[i]+versionPath(version)+"x", id)
 		if int64(r.process(r.proxyName(i)).Lives()) != life {
 			continue
 		}
