Contact is a lease that is looked at when it is used; leaving is acknowledged only as the list has it

Findings: a controller that was frozen for 30 s handed its configuration to agents until its next tick, and answers read after the thaw renewed its contact, so that it never learned what was in force; a DELETE that a full list refused, and a draining beat that counted as late, got 200. Class: evidence that is kept as a flag and renewed by a timer, dated by when it was read; an acknowledgement that follows from 'no error' in place of from what is held. Design: answers count from when they were asked for (3 s), a lapse is noticed before anything renews the lease, the board asks at each answer (Guard) instead of going by what it was told; refuseLeaving is the one place that acknowledges leaving, by the state held. Invariants version_rises (across the disk) and leave_recorded. TestBeats: Beaten names the state held now; the expectation has it besides.

--- a/controlplane/contact.go
+++ b/controlplane/contact.go
@@ -6,46 +6,75 @@
 	"time"
 
 	"peathollow/consensus"
+	"peathollow/internal/invariant"
 )
 
 // A controller hands out a configuration, and a list of searchers that may be taken for the whole, only in contact: a
-// majority of the members pulls here and answers its pulls, and since that began a read through the primary has told it
-// what is in force. What its disk remembers, and what it knew before a cut, may be old.
+// majority of the members pulls here and has lately answered its pulls, and since that began a read through the primary has
+// told it what is in force. What its disk remembers, and what it knew before a cut, may be old.
+//
+// Contact is a lease, not a state that a timer renews: whoever needs it looks at the clock then, and an answer counts from
+// when its question was sent. A process that did not run for a while finds it over at its first step, and what was asked
+// before renews nothing.
 
-// aloneAfter is how long a controller that doesn't pull here any more, or doesn't answer, counts as in touch. Links say
-// something at least once a second.
-const aloneAfter = 2500 * time.Millisecond
+// contactLease is how long an answer to a pull proves contact, from when the pull was sent. Pulls are answered within
+// 0.8 s, so that two in a row may be late.
+const contactLease = 3 * time.Second
+
+// pullsFor is how long a controller that pulls here counts as one that does. Links say something at least once a second.
+const pullsFor = 2500 * time.Millisecond
 
 // contactEvery is how often a controller that has just started looks whether it is in touch.
 const contactEvery = 50 * time.Millisecond
 
 // contact is what a controller knows of its standing among the members.
 type contact struct {
-	touch     bool   // a majority is in touch
+	touch     bool   // a majority was in touch when that was last looked at
 	since     uint64 // rises with each loss of touch
 	asking    bool
-	confirmed bool // in touch, and what is in force was learned since
+	confirmed bool // what is in force was learned since
 }
 
 // answers notes that a controller has answered a pull, asked at some time.
-func (h *Controller) answers(addr string, _ time.Time) {
+func (h *Controller) answers(addr string, asked time.Time) {
+	e := h.core.members()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.answered[addr] = time.Now()
+	h.noticeLapse(e)
+	if asked.After(h.answered[addr]) {
+		h.answered[addr] = asked
+	}
 }
 
 // inTouch tells whether a majority of the members pulls here and answers pulls from here.
 func (h *Controller) inTouch() bool {
-	pulls := h.fresh()
 	e := h.core.members()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.touches(e)
+}
+
+// touches tells so of the members of an epoch; the lock is held.
+func (h *Controller) touches(e consensus.Epoch) bool {
+	now := time.Now()
+	pulls := h.pullers(now)
 	return quorumByIP(e, func(_ consensus.ID, ip string) bool {
-		at, answered := h.answered[h.newsAddr(ip)]
-		return ip == h.set.IP || pulls[ip] && answered && time.Since(at) < aloneAfter
+		return ip == h.set.IP || pulls[ip] && now.Sub(h.answered[h.newsAddr(ip)]) < contactLease
 	})
 }
 
+// noticeLapse ends contact whose lease is over, before anything renews the lease; the lock is held. What was learned before
+// the lapse has to be learned anew.
+func (h *Controller) noticeLapse(e consensus.Epoch) (touch bool) {
+	c := &h.contact
+	if touch = h.touches(e); !touch && c.touch {
+		c.touch, c.confirmed = false, false
+		c.since++
+		h.sight.lapses.Add(1)
+	}
+	return touch
+}
+
 // quorumByIP is Quorum where members are told apart by their machine's address; one without an address never counts.
 func quorumByIP(e consensus.Epoch, yes func(id consensus.ID, ip string) bool) bool {
 	return e.Quorum(func(m consensus.Member) bool {
@@ -56,14 +85,11 @@
 
 // renew follows whether this controller is in contact; in touch again, it asks what is in force.
 func (h *Controller) renew(ctx context.Context) (touch bool) {
-	touch = h.inTouch()
+	e := h.core.members()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	touch = h.noticeLapse(e)
 	c := &h.contact
-	if !touch && c.touch {
-		c.since++
-		c.confirmed = false
-	}
 	c.touch = touch
 	if touch && !c.confirmed && !c.asking {
 		c.asking = true
@@ -82,32 +108,40 @@
 		h.committed(a.Doc)
 		known = h.version() >= a.Doc.Version
 	}
+	if known {
+		recalled := h.recalled.Load()
+		invariant.Check(invariant.VersionRises, a.Doc.Version >= recalled, "version %d is in force, the disk remembers %d", a.Doc.Version, recalled)
+	}
+	e := h.core.members()
 	h.mu.Lock()
 	h.contact.asking = false
-	if known && h.contact.touch && h.contact.since == since {
+	if known && h.noticeLapse(e) && h.contact.touch && h.contact.since == since {
 		h.contact.confirmed = true
 	}
-	confirmed := h.contact.confirmed
 	h.mu.Unlock()
-	if confirmed {
-		h.board.SetAlone(false)
-	}
+	h.board.SetAlone(!h.inContact()) // wakes those that wait; what they get the board asks at that moment
 }
 
 // inContact tells whether this controller may hand out what it knows.
 func (h *Controller) inContact() bool {
+	e := h.core.members()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.contact.confirmed || h.plant.ServeBeforeContact
+	return h.noticeLapse(e) && h.contact.confirmed || h.plant.ServeBeforeContact
 }
 
 // fresh gives the addresses of the controllers that pull here.
 func (h *Controller) fresh() map[string]bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.pullers(time.Now())
+}
+
+// pullers does so with the lock held.
+func (h *Controller) pullers(now time.Time) map[string]bool {
 	ips := map[string]bool{h.set.IP: true}
 	for _, p := range h.peers {
-		if time.Since(p.at) < aloneAfter {
+		if now.Sub(p.at) < pullsFor {
 			ips[p.ip] = true
 		}
 	}
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -63,6 +63,7 @@
 	taken    atomic.Pointer[manifest.Manifest] // the configuration that an operator sent here last
 	plant    PlantedFaults
 	sight    sight
+	recalled atomic.Uint64 // the version that the disk remembered at the start
 }
 
 type peer struct {
@@ -107,7 +108,7 @@
 		network: on.Network, plant: on.Plant}
 	h.judge = failuredetector.NewJudge(failuredetector.JudgeConfig{Period: s.BeatPeriod})
 	h.board = distribution.NewBoard(registry.New(registry.Config{Name: life, Period: s.BeatPeriod, Start: now}))
-	h.board.SetAlone(!h.inContact()) // until a majority is met
+	h.board.SetAlone(true) // until a majority is met
 	store, saved, lost, err := storage.OpenOn(on.Files, s.DataDir)
 	if err != nil {
 		return nil, errors.Wrap(err, "storage")
@@ -130,6 +131,7 @@
 		ackUnsynced: on.Plant.AckUnsynced, sight: &h.sight,
 		calls: make(chan call, 64), writes: make(chan consensus.Write, 4), saved: make(chan uint64, 4), jobs: make(chan func() error, 1),
 		committed: h.committed, changed: h.members}
+	h.board.Guard(h.inContact)
 	h.recall()
 	l.Info().Str("event", "start").Str("id", string(h.core.node.ID())).Bool("remembers", saved != nil).Bool("cold", cold).Msg("")
 	return h, nil
@@ -305,8 +307,10 @@
 	case "agent":
 		h.pulled(a)
 	case "controller":
+		e := h.core.members()
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		h.noticeLapse(e)
 		h.peers[a.Node] = peer{a.Life, a.IP, time.Now()}
 		if a.Word != nil {
 			h.judge.Told(time.Now(), a.Node, *a.Word)
--- a/controlplane/doors.go
+++ b/controlplane/doors.go
@@ -14,6 +14,7 @@
 
 	"peathollow/consensus"
 	"peathollow/distribution"
+	"peathollow/internal/invariant"
 	"peathollow/manifest"
 	"peathollow/registry"
 )
@@ -108,8 +109,10 @@
 	if !h.inContact() {
 		return fault(http.StatusServiceUnavailable, "out of touch with the core")
 	}
-	if s.State == registry.Draining && !h.known(ctx, b.Vector()) {
-		return fault(http.StatusServiceUnavailable, "too few of the core know")
+	if s.State == registry.Draining {
+		if refusal, refused := h.refuseLeaving(ctx, s.ID, s.State, b); refused {
+			return refusal
+		}
 	}
 	return reply{http.StatusOK, h.beatTarget(s.Zone)}
 }
@@ -144,12 +147,30 @@
 		b = ro.Leave(time.Now(), r.PathValue("id"))
 		return b.News
 	})
-	if v := b.Vector(); v != nil && !h.known(ctx, v) {
-		return fault(http.StatusServiceUnavailable, "too few of the core know")
+	if refusal, refused := h.refuseLeaving(ctx, r.PathValue("id"), registry.Gone, b); refused {
+		return refusal
 	}
 	return reply{http.StatusOK, []byte("{}")}
 }
 
+// refuseLeaving tells why it can't be acknowledged that a searcher leaves; false if it can: the list has it so, and a
+// majority of the members holds that on disk.
+func (h *Controller) refuseLeaving(ctx context.Context, id string, leaves registry.State, b registry.Beaten) (reply, bool) {
+	if b.Refused || b.State < leaves {
+		// No room for it, or a late call: the searcher is known to be ready since.
+		return fault(http.StatusServiceUnavailable, "not recorded"), true
+	}
+	if !h.known(ctx, b.Vector()) {
+		return fault(http.StatusServiceUnavailable, "too few of the core know"), true
+	}
+	h.board.With(func(r *registry.Registry) bool {
+		e, held := r.Get(id)
+		invariant.Check(invariant.LeaveRecorded, held && e.State >= leaves, "searcher %s leaves as %v, listed: %v, as %v", id, leaves, held, e.State)
+		return false
+	})
+	return reply{}, false
+}
+
 // readSearcher reads a beat's body; why says what is wrong with it.
 func readSearcher(body []byte, id string) (s registry.Searcher, why string) {
 	v, err := fastjson.ParseBytes(body)
--- /dev/null
+++ b/controlplane/invariant_test.go
@@ -0,0 +1,6 @@
+package controlplane
+
+import "peathollow/internal/invariant"
+
+// A violation of an invariant ends the test.
+func init() { invariant.SetFatal(true) }
--- a/controlplane/memory.go
+++ b/controlplane/memory.go
@@ -24,6 +24,7 @@
 	if doc != nil {
 		if m, err := open(doc.Body); err == nil {
 			h.board.Put(m)
+			h.recalled.Store(m.Version)
 		} else {
 			h.log.Error().Str("event", "recall").Err(err).Msg("")
 		}
--- a/distribution/board.go
+++ b/distribution/board.go
@@ -30,7 +30,8 @@
 	core       []Place
 	coreSum    uint64
 	mixers     int
-	alone      bool
+	alone      bool        // as last told
+	guard      func() bool // whether this process may hand out what it knows; nil: always
 	aloneSince time.Time
 	kept       registry.Vector // news that the disk of this process holds
 	keptNo     uint64          // rises with each change of kept
@@ -146,11 +147,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if alone != b.alone {
-		b.alone, b.aloneSince = alone, time.Now()
+		b.markAlone(alone)
 		b.tell()
 	}
 }
 
+func (b *Board) markAlone(alone bool) {
+	if alone != b.alone {
+		b.alone, b.aloneSince = alone, time.Now()
+	}
+}
+
+// Guard sets what is asked, each time and with nothing else in between, whether agents may be handed what the board holds.
+// SetAlone alone says how that was at some time before.
+func (b *Board) Guard(inContact func() bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.guard = inContact
+}
+
 // SetKept tells what news the disk of this process holds.
 func (b *Board) SetKept(v registry.Vector) {
 	b.mu.Lock()
@@ -185,6 +200,9 @@
 func (b *Board) cargo(a *Ask) (Cargo, bool, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !a.Peer && b.guard != nil && !b.guard() {
+		b.markAlone(true)
+	}
 	if b.alone && !a.Peer {
 		return b.cargoAlone(a)
 	}
--- a/registry/beat.go
+++ b/registry/beat.go
@@ -20,12 +20,12 @@
 	first := rec == nil || rec.heard.IsZero() || rec.Address != s.Address
 	if rec != nil {
 		if rec.State == Gone {
-			return Beaten{Gone: true, Source: rec.Source, No: rec.No}
+			return Beaten{Gone: true, State: rec.State, Source: rec.Source, No: rec.No}
 		}
 		// Repeats raise calls without news, so the entry alone doesn't show that a beat is late.
 		known := max(rec.Calls, rec.calls)
 		if s.Calls < known || s.Calls == known && s.State <= rec.State {
-			return Beaten{Late: true, Source: rec.Source, No: rec.No}
+			return Beaten{Late: true, State: rec.State, Source: rec.Source, No: rec.No}
 		}
 	}
 	e := Entry{Searcher: s, Source: r.cfg.Name}
@@ -38,10 +38,10 @@
 		if first {
 			r.supersede(rec)
 		}
-		return Beaten{News: true, Source: rec.Source, No: rec.No}
+		return Beaten{News: true, State: rec.State, Source: rec.Source, No: rec.No}
 	}
 	rec.heard, rec.calls, rec.doubt = r.now, s.Calls, false
-	return Beaten{Source: rec.Source, No: rec.No}
+	return Beaten{State: rec.State, Source: rec.Source, No: rec.No}
 }
 
 // warmupMoved tells whether the time left differs from what the told one has run down to.
@@ -77,7 +77,7 @@
 	e := Entry{Searcher: Searcher{ID: id, State: Gone}, Source: r.cfg.Name}
 	if rec := r.recs[id]; rec != nil {
 		if rec.State == Gone {
-			return Beaten{Gone: true, Source: rec.Source, No: rec.No}
+			return Beaten{Gone: true, State: rec.State, Source: rec.Source, No: rec.No}
 		}
 		e.Calls = max(rec.Calls, rec.calls)
 	}
@@ -85,7 +85,7 @@
 		return Beaten{Refused: true}
 	}
 	rec := r.recs[id]
-	return Beaten{News: true, Gone: true, Source: rec.Source, No: rec.No}
+	return Beaten{News: true, Gone: true, State: rec.State, Source: rec.Source, No: rec.No}
 }
 
 // publish tells e under the next number.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -67,7 +67,7 @@
 	must.Eq(t, "true draining false", state(h, "i"))
 	must.True(t, h.Leave(at(2), "i").News)
 	s.Calls = 99
-	must.Eq(t, Beaten{Gone: true, Source: "h", No: 3}, h.Beat(at(2), s))
+	must.Eq(t, Beaten{Gone: true, State: Gone, Source: "h", No: 3}, h.Beat(at(2), s))
 	must.Eq(t, 0, h.Len())
 	must.True(t, relay("r").Beat(at(2), s).Refused)
 	must.NoError(t, h.Check())
--- a/registry/types.go
+++ b/registry/types.go
@@ -123,6 +123,8 @@
 	Late    bool // it is older than what is held, or a copy
 	Gone    bool // the id has left and never comes back
 	Refused bool // no room, or this registry is no source
+	// State is that of the entry now held for the id; Ready after a refusal.
+	State State
 	// Source and No name the entry now held for the id: a peer whose vector covers them has it.
 	Source string
 	No     uint64
