--- /dev/null
+++ b/cmd/peathollow/hangup_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// takesHangUp tells whether a process has decided what a SIGHUP does to it, by the masks that the kernel shows.
+func takesHangUp(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(status)) {
+		name, mask, _ := strings.Cut(line, ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		bits, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
+		if err == nil && bits>>(syscall.SIGHUP-1)&1 != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// A SIGHUP from the first moment at which the process has any say in it does not end a role that starts. Before, the
+// runtime took it for the program's end until all packages had started.
+func TestHangUpWhileARoleStarts(t *testing.T) {
+	for _, role := range []string{"proxy", "agent", "controller"} {
+		settings := filepath.Join(t.TempDir(), "settings")
+		must.NoError(t, syscall.Mkfifo(settings, 0o600)) // it comes no further than to its settings
+		p := exec.Command(os.Args[0], role)
+		p.Env = append(os.Environ(), "PEATHOLLOW_TEST_PROGRAM=1", "PEATHOLLOW_SETTINGS="+settings)
+		must.NoError(t, p.Start())
+		ended := make(chan error, 1)
+		go func() { ended <- p.Wait() }()
+		for late := time.Now().Add(30 * time.Second); !takesHangUp(p.Process.Pid); {
+			must.True(t, time.Now().Before(late))
+		}
+		must.NoError(t, p.Process.Signal(syscall.SIGHUP))
+		// It opens its settings only if it lives; without a reader this would not return.
+		opened := make(chan error, 1)
+		go func() {
+			f, err := os.OpenFile(settings, os.O_WRONLY, 0)
+			if err == nil {
+				f.Close()
+			}
+			opened <- err
+		}()
+		select {
+		case err := <-opened:
+			must.NoError(t, err)
+			must.Error(t, <-ended) // empty settings
+		case err := <-ended:
+			t.Errorf("%s ended with %v", role, err)
+			f, err := os.OpenFile(settings, os.O_RDWR, 0) // lets the writer go
+			must.NoError(t, err)
+			f.Close()
+			<-opened
+		}
+	}
+}
