A SIGHUP from the first moment on ends no role: ignored before the runtime starts, until the program asks for it

Cause: the Go runtime takes SIGHUP for the end of the program until Notify, which comes after the start of all packages (7 ms here, ten times that on a tenth of a core). Ruled out: an earlier Notify in a package of ours; packages of others start first, by the order of the language.

--- a/cmd/peathollow/system.go
+++ b/cmd/peathollow/system.go
@@ -15,6 +15,7 @@
 	"peathollow/agent"
 	"peathollow/controlplane"
 	"peathollow/internal/figures"
+	_ "peathollow/internal/hangup" // a SIGHUP during the start ends no role
 	"peathollow/internal/invariant"
 	"peathollow/internal/settings"
 	"peathollow/proxy"
