A request is handed on with the moment at which its time is over, not with how much was left

Class: durations carried across a wait. Request.Until is by the life's clock; one whose time is over as it is taken is refused, as it has not run. Looked for elsewhere: calls passed between controllers carry what is left of their time; their receiver bounds them by 0.9 s from when it reads them, and an order done late is the same order.

--- a/proxy/front.go
+++ b/proxy/front.go
@@ -74,7 +74,7 @@
 			t.Headers = append(t.Headers, upstream.Header{Name: name, Value: v})
 		}
 	}
-	f, ok := q.await(r, route, t, left)
+	f, ok := q.await(r, route, t)
 	if !ok {
 		q.sight.clientLeft()
 		return
@@ -96,9 +96,9 @@
 }
 
 // await hands the request over and waits for its answer; false if the client left.
-func (q *Proxy) await(r *http.Request, route *manifest.Route, t *taken, left time.Duration) (request.Final, bool) {
+func (q *Proxy) await(r *http.Request, route *manifest.Route, t *taken) (request.Final, bool) {
 	done := make(chan request.Final, 1)
-	req := &request.Request{Route: route, Left: left, Data: t, Done: func(f request.Final) { done <- f }}
+	req := &request.Request{Route: route, Until: t.until.Sub(q.start), Data: t, Done: func(f request.Final) { done <- f }}
 	q.do(func() { q.life.Begin(req) })
 	select {
 	case f := <-done:
--- a/request/group.go
+++ b/request/group.go
@@ -198,7 +198,7 @@
 		p.g.l.finish(r, Final{Kind: Relayed, Reply: r.refuse})
 		return
 	}
-	p.g.l.finish(r, Final{Kind: Failed, Late: p.g.l.now >= r.at+min(r.Left, r.Route.Horizon)-4*granularity})
+	p.g.l.finish(r, Final{Kind: Failed, Late: p.g.l.now >= r.Until-4*granularity})
 }
 
 // take finds a request that the module has ended.
--- a/request/invariants_test.go
+++ b/request/invariants_test.go
@@ -53,7 +53,7 @@
 			l.Mixers(1)
 			l.List([]Host{{ID: "i1", Address: "a", Service: "s", State: brain.Ready}})
 			r := &Request{Route: &manifest.Route{Name: "r", Plant: "s", Horizon: time.Second, Setpoint: time.Second, Retries: 3},
-				Left: time.Second, Done: func(Final) {}}
+				Until: time.Second, Done: func(Final) {}}
 			l.Begin(r)
 			must.Len(t, 1, l.Take(nil))
 			p := r.parts[0]
--- a/request/life.go
+++ b/request/life.go
@@ -84,10 +84,13 @@
 		services = []string{l.choose(r.Route)}
 	}
 	g := l.group(services)
-	r.id, r.at, r.group, r.shards = l.id(), l.now, g, services
+	r.id, r.group, r.shards = l.id(), g, services
 	l.reqs[r.id] = r
-	left := min(r.Left, r.Route.Horizon)
-	g.begin(r, left)
+	if r.Until <= l.now {
+		l.finish(r, Final{Kind: Refused, Reason: TimeOver})
+		return
+	}
+	g.begin(r, r.Until-l.now)
 }
 
 // choose picks the service of a request on a route that goes to one of several by weight.
@@ -191,7 +194,10 @@
 		}
 	case Refused:
 		l.Counts.Refused++
-		f.Reason, f.Tries = l.refusal(r), l.tries(r)
+		f.Tries = l.tries(r)
+		if f.Reason == "" {
+			f.Reason = l.refusal(r)
+		}
 	case Failed:
 		l.Counts.Failed++
 		f.Reason, f.Tries = l.failure(r, f.Late), l.tries(r)
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -190,7 +190,7 @@
 		w.configure()
 		w.birth("s1", "a")
 		w.tell()
-		w.l.Begin(&Request{Route: w.routes[1], Left: time.Second, Done: func(Final) {}})
+		w.l.Begin(&Request{Route: w.routes[1], Until: w.now + time.Second, Done: func(Final) {}})
 		must.NoError(t, w.l.Check())
 		must.MapLen(t, 1, w.l.parts)
 		for _, p := range w.l.parts {
--- a/request/types.go
+++ b/request/types.go
@@ -74,13 +74,12 @@
 // Request is one try of a client.
 type Request struct {
 	Route *manifest.Route
-	Left  time.Duration // what is left of the client's deadline
+	Until time.Duration // when it is given up at the latest, by the life's clock: the client's deadline, and its route's horizon
 	Done  func(Final)   // called once, with the caller's lock held
 	Data  any           // the caller's
 
 	id     uint64
 	group  *group
-	at     time.Duration
 	shards []string // services asked, fixed when the request was taken
 	parts  []*part
 	ended  bool
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -161,8 +161,8 @@
 		w.fail("request %d is sent to a second service", q.no)
 	case len(earlier) >= q.Route.Retries:
 		w.fail("request %d is sent to %s more than %d times", q.no, d.Host.Service, q.Route.Retries)
-	case d.Until <= w.now || d.Until > q.at+min(q.Left, q.Route.Horizon)+granularity:
-		w.fail("request %d is sent until %v, taken at %v for %v", q.no, d.Until, q.at, min(q.Left, q.Route.Horizon))
+	case d.Until <= w.now || d.Until > q.Until+granularity:
+		w.fail("request %d is sent until %v, its own time is over at %v", q.no, d.Until, q.Until)
 	}
 	for _, t := range earlier {
 		if t.out && t.host.ID == d.Host.ID {
@@ -259,7 +259,7 @@
 	if w.r.IntN(10) == 0 {
 		left = time.Duration(w.r.IntN(12)) * ms
 	}
-	q.Request = &Request{Route: route, Left: left, Data: q, Done: func(f Final) { w.done(q, f) }}
+	q.Request = &Request{Route: route, Until: w.now + min(left, route.Horizon), Data: q, Done: func(f Final) { w.done(q, f) }}
 	w.reqs = append(w.reqs, q)
 	w.l.Begin(q.Request)
 	if w.r.IntN(8) == 0 {
