--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -105,9 +105,12 @@
 }
 
 // newProxySide starts a proxy's side, which holds nothing.
-func (s *shore) newProxySide() *distribution.Board {
+func (s *shore) newProxySide() *distribution.Board { return s.proxySide("q") }
+
+// proxySide does so for one life of the proxy.
+func (s *shore) proxySide(life string) *distribution.Board {
 	b := distribution.NewBoard(registry.New(registry.Config{Name: fmt.Sprint("proxy-", time.Now().UnixNano()), Relay: true, Period: time.Second, Start: time.Now()}))
-	p := distribution.Puller{Board: b, Life: "q", Kind: "proxy", Choose: func(int) string { return proxy.AgentPort(s.set) }}
+	p := distribution.Puller{Board: b, Life: life, Kind: "proxy", Choose: func(int) string { return proxy.AgentPort(s.set) }}
 	ctx, stop := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { p.Run(ctx) })
@@ -253,3 +256,24 @@
 	again.Put(s.config(8))
 	s.eventually(holds(s.proxy, 8, "i"))
 }
+
+// TestProxyLivesShareOneBudget: a proxy that is started again beside the same agent gets no slack of the retry budget anew
+// while what the life before spent still counts. The code before gave each life of a proxy its own: only agents' lives were
+// counted.
+func TestProxyLivesShareOneBudget(t *testing.T) {
+	t.Parallel()
+	s := newShore(t)
+	h := s.controller(0, "h0")
+	h.With(func(r *registry.Registry) bool {
+		r.Beat(time.Now(), (&distribution.Mixer{Life: "agent/front/1", Calls: 1}).Searcher())
+		return true
+	})
+	h.Put(s.config(1))
+	s.eventually(holds(s.proxy, 1))
+	must.False(t, s.proxy.SlackSpent())
+	for _, life := range []string{"second", "third"} {
+		again := s.proxySide(life)
+		s.eventually(holds(again, 1))
+		must.True(t, again.SlackSpent(), must.Sprint(life))
+	}
+}
--- a/distribution/board.go
+++ b/distribution/board.go
@@ -30,6 +30,7 @@
 	core       []Place
 	coreSum    uint64
 	mixers     int
+	slackSpent bool
 	alone      bool        // as last told
 	guard      func() bool // whether this process may hand out what it knows; nil: always
 	aloneSince time.Time
@@ -140,6 +141,13 @@
 	return true
 }
 
+// SlackSpent tells whether earlier lives of the proxy here have had this machine's part of the retry budget's slack.
+func (b *Board) SlackSpent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slackSpent
+}
+
 // SetAlone tells that this process is out of touch with most of the core, or has not yet learned since it is in touch what
 // is in force: who pulls here had better move on. Until it is told otherwise, agents get no configuration and
 // no list that may be taken for the whole: both may be old.
