No role starts on half of its settings; the retry budget outlives a fault and a restart of the proxy alone

A fault in what decides hands the budget's account to the next life and calls off what is out. An agent counts the lives of its proxy and tells a third in a window (a second, while the agent itself is younger) that the slack is spent. TestFaultKeepsTheBudget: 8 further dispatches of 4 allowed before, 4 or fewer now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,11 +27,12 @@
 
 	leaving atomic.Bool
 	link    link
+	proxies *proxyLives
 }
 
 // New makes an agent from what it is told.
 func New(s *settings.Settings, life string, l *log.Logger) *Agent {
-	return &Agent{set: s, log: l, life: life,
+	return &Agent{set: s, log: l, life: life, proxies: newProxyLives(s.RetryWindow, time.Now()),
 		board: distribution.NewBoard(registry.New(registry.Config{Name: life, Relay: true, Period: s.BeatPeriod, Start: time.Now()}))}
 }
 
@@ -44,7 +45,11 @@
 	}
 	all, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	s := distribution.Server{Board: t.board}
+	s := distribution.Server{Board: t.board, Met: func(a *distribution.Ask) {
+		now := time.Now()
+		t.proxies.met(now, a)
+		t.board.SetSlackSpent(t.proxies.slackSpent(now)) // before the answer to a new life
+	}}
 	go s.Serve(all, ln)
 	if t.heart, err = newHeart(t, heartbeatEvery); err != nil {
 		t.log.Error().Str("event", "heartbeats").Err(err).Msg("")
@@ -81,6 +86,7 @@
 				return r.Tick(time.Now())
 			})
 			t.board.SetMixers(n)
+			t.board.SetSlackSpent(t.proxies.slackSpent(time.Now()))
 		}
 	}
 }
--- a/cmd/peathollow/system.go
+++ b/cmd/peathollow/system.go
@@ -58,7 +58,7 @@
 func runProcess(ctx context.Context, name, metrics string, build func(*settings.Settings, string, *log.Logger) (process, error)) error {
 	signal.Ignore(syscall.SIGPIPE)
 	again := notify(syscall.SIGHUP)
-	s, err := settings.Read(settings.FromEnvironment(os.Getenv))
+	s, err := settings.ReadFor(name, settings.FromEnvironment(os.Getenv))
 	if err != nil {
 		return err
 	}
@@ -83,7 +83,7 @@
 	go func() {
 		for range again {
 			// What a process is told of itself takes effect at its next start; the file is read to say whether it would.
-			if _, err := settings.Read(settings.FromEnvironment(os.Getenv)); err != nil {
+			if _, err := settings.ReadFor(name, settings.FromEnvironment(os.Getenv)); err != nil {
 				l.Error().Str("event", "settings").Err(err).Msg("")
 			} else {
 				l.Info().Str("event", "settings").Msg("")
--- a/distribution/board.go
+++ b/distribution/board.go
@@ -141,6 +141,17 @@
 	return true
 }
 
+// SetSlackSpent tells whether earlier lives of the proxy here have had this machine's part of the retry budget's slack. An
+// agent knows, for its proxy.
+func (b *Board) SetSlackSpent(spent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if spent != b.slackSpent {
+		b.slackSpent = spent
+		b.tell()
+	}
+}
+
 // SlackSpent tells whether earlier lives of the proxy here have had this machine's part of the retry budget's slack.
 func (b *Board) SlackSpent() bool {
 	b.mu.Lock()
@@ -223,8 +234,8 @@
 		c.Kept, c.KeptNo, some = b.kept.Clone(), b.keptNo, true
 	}
 	if !a.Peer {
-		c.Alone, c.Mixers = b.alone, b.mixers
-		some = some || b.alone != a.Alone || b.mixers > 0 && b.mixers != a.Mixers // who doesn't count has nothing to say
+		c.Alone, c.Mixers, c.SlackSpent = b.alone, b.mixers, b.slackSpent
+		some = some || b.alone != a.Alone || b.slackSpent != a.SlackSpent || b.mixers > 0 && b.mixers != a.Mixers // who doesn't count has nothing to say
 		if a.Core != b.coreSum {
 			c.Core, some = b.core, true
 		}
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -43,12 +43,14 @@
 	Whole   bool   // a difference did not fit: the whole is wanted
 	Core    uint64 // digest of the list of core machines held
 	Mixers  int
-	Alone   bool
-	Peer    bool // the asker is a controller: it knows of core machines itself
-	Mend    *Mend
-	Kept    uint64                // a controller's: what it knows of the answerer's disk, by the number told last on this link
-	Mixer   *Pulse                // an agent's
-	Word    *failuredetector.Word // a controller's, of the mixers that pull from it
+	// SlackSpent is what a proxy was last told of it.
+	SlackSpent bool
+	Alone      bool
+	Peer       bool // the asker is a controller: it knows of core machines itself
+	Mend       *Mend
+	Kept       uint64                // a controller's: what it knows of the answerer's disk, by the number told last on this link
+	Mixer      *Pulse                // an agent's
+	Word       *failuredetector.Word // a controller's, of the mixers that pull from it
 }
 
 // Pulse is what an agent tells of itself, and of the mixers that it watches.
@@ -69,8 +71,10 @@
 	Patch   *manifest.Patch // or its difference to the asker's
 	Core    []Place
 	Mixers  int
-	Alone   bool // the teller is out of touch with most of the core
-	Mend    *Mend
+	// SlackSpent is told by an agent to its proxy; see Board.
+	SlackSpent bool
+	Alone      bool // the teller is out of touch with most of the core
+	Mend       *Mend
 	// Kept is the news that the disk of the teller, a controller, holds; KeptNo rises with each change. 0: nothing new.
 	Kept   registry.Vector
 	KeptNo uint64
@@ -252,6 +256,9 @@
 		if len(p.lives) >= livesMost {
 			clear(p.lives)
 		}
+		if p.Kind == "proxy" {
+			p.Board.SetSlackSpent(cargo.SlackSpent)
+		}
 		if p.Answered != nil {
 			p.Answered(addr, &cargo, asked)
 		}
@@ -307,7 +314,7 @@
 	}
 	p.Board.mu.Lock()
 	defer p.Board.mu.Unlock()
-	a.Want, a.Core, a.Mixers = p.Board.registry.Want(by), p.Board.coreSum, p.Board.mixers
+	a.Want, a.Core, a.Mixers, a.SlackSpent = p.Board.registry.Want(by), p.Board.coreSum, p.Board.mixers, p.Board.slackSpent
 	if p.Board.doc != nil {
 		a.Version = p.Board.doc.Version
 	}
--- a/lab/scale/bench_test.go
+++ b/lab/scale/bench_test.go
@@ -56,7 +56,7 @@
 	done := false
 	g.now += 2 * time.Millisecond
 	g.life.At(g.now)
-	g.life.Begin(&request.Request{Route: g.route, Left: time.Second, Done: func(f request.Final) { g.last, done = f, true }})
+	g.life.Begin(&request.Request{Route: g.route, Until: g.now + time.Second, Done: func(f request.Final) { g.last, done = f, true }})
 	for range 200 {
 		g.acts = g.life.Take(g.acts[:0])
 		if done && len(g.acts) == 0 {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -56,15 +56,16 @@
 	now := time.Now()
 	q := &Proxy{set: s, name: life, log: l, start: now, pools: map[string]*upstream.Pool{},
 		sight: newSight(), board: distribution.NewBoard(registry.New(registry.Config{Name: life, Relay: true, Period: s.BeatPeriod, Start: now}))}
-	q.life = q.newLife()
+	q.life = q.newLife(nil)
 	q.clock = time.AfterFunc(time.Hour, q.due)
 	q.clock.Stop()
 	return q
 }
 
-func (q *Proxy) newLife() *request.Life {
+// newLife starts what decides, on the retry budget's account of a life before if there was one.
+func (q *Proxy) newLife(book *retrybudget.Book) *request.Life {
 	return request.New(request.Terms{Seed: uint64(time.Now().UnixNano()),
-		Budget: retrybudget.Terms{Ratio: q.set.RetryRatio, Slack: q.set.RetrySlack, Window: q.set.RetryWindow}}, q.now())
+		Book: book, Budget: retrybudget.Terms{Ratio: q.set.RetryRatio, Slack: q.set.RetrySlack, Window: q.set.RetryWindow}}, q.now())
 }
 
 // AgentPort is where an agent feeds the proxy beside it, over loopback.
@@ -173,9 +174,11 @@
 	})
 	n := q.board.Mixers()
 	q.sight.told(time.Now())
+	spent := q.board.SlackSpent()
 	q.do(func() {
 		q.mixers = n
 		q.life.Mixers(n)
+		q.life.Book().SlackSpent(spent)
 		if gen != q.gen {
 			q.gen = gen
 			q.list(entries)
@@ -238,8 +241,7 @@
 	defer q.mu.Unlock()
 	defer func() {
 		if e := recover(); e != nil {
-			q.restart(e)
-			acts = nil
+			acts = q.restart(e)
 		}
 	}()
 	q.life.At(q.now())
@@ -254,16 +256,16 @@
 	return acts
 }
 
-// restart keeps a fault in what decides from ending the process: what is in hand ends as if it may have run, and a new
-// request starts with the list as known. The lock is held.
-func (q *Proxy) restart(why any) {
+// restart keeps a fault in what decides from ending the process: what is in hand ends as if it may have run and is called
+// off, and a new life starts with the list as known and what is left of the retry budget. The lock is held.
+func (q *Proxy) restart(why any) []request.Act {
 	q.log.Error().Str("event", "panic").Any("why", why).Bytes("stack", debug.Stack()).Msg("")
 	old := q.life
 	q.sight.restarts.Add(1)
-	q.life, q.armed = q.newLife(), 0
+	q.life, q.armed = q.newLife(old.Book()), 0
 	q.life.Mixers(q.mixers)
 	q.life.List(q.hosts)
-	old.Abandon()
+	return old.Abandon()
 }
 
 func (q *Proxy) arm() {
--- a/proxy/restart_test.go
+++ b/proxy/restart_test.go
@@ -18,7 +18,7 @@
 	"peathollow/request"
 )
 
-// failing is a proxy before two searchers that close each connection, with a budget of a few further dispatches.
+// failing is a proxy before two searchers that turn everything away, with a budget of a few further dispatches.
 func failing(t *testing.T) (*Proxy, *rude.Ledger) {
 	t.Helper()
 	const slack = 8 // of which one life of the only mixer may spend half
@@ -30,7 +30,7 @@
 	ledger := &rude.Ledger{}
 	var hosts []request.Host
 	for range 2 {
-		s, err := rude.Start(rude.Options{Ledger: ledger, Script: func(rude.Call) rude.Reply { return rude.Reply{Way: rude.CloseRun} }})
+		s, err := rude.Start(rude.Options{Ledger: ledger, Script: func(rude.Call) rude.Reply { return rude.Reply{Way: rude.Refuse} }})
 		must.NoError(t, err)
 		t.Cleanup(s.Close)
 		hosts = append(hosts, request.Host{ID: s.ID(), Address: s.Addr(), Service: "s", State: brain.Ready})
@@ -51,7 +51,7 @@
 		r := httptest.NewRequest(http.MethodGet, "http://h.example/", nil)
 		r.RequestURI = "/"
 		r.Header.Set(attemptID, id)
-		r.Header.Set(deadlineMs, "500")
+		r.Header.Set(deadlineMs, "400")
 		all.Go(func() { q.ServeHTTP(httptest.NewRecorder(), r) })
 	}
 	all.Wait()
@@ -65,6 +65,7 @@
 // counts. The code before gave a new budget with each fault, so that a request that brings one about, sent again and again,
 // freed any number of further dispatches.
 func TestFaultKeepsTheBudget(t *testing.T) {
+	t.Parallel()
 	q, ledger := failing(t)
 	const requests, allowed = 12, 4
 	spent := further(q, ledger, "before-", requests)
--- a/request/life.go
+++ b/request/life.go
@@ -13,6 +13,8 @@
 type Terms struct {
 	Seed   uint64
 	Budget retrybudget.Terms
+	// Book is that of a life before, after a fault in it: what was spent still counts. A new one if nil.
+	Book *retrybudget.Book
 }
 
 // Life holds all that is in hand. It is not safe for concurrent use.
@@ -34,10 +36,16 @@
 
 // New makes the life of a mixer that has nothing in hand.
 func New(t Terms, now time.Duration) *Life {
-	return &Life{terms: t, now: now, dice: rand.New(rand.NewPCG(t.Seed, 0)), book: retrybudget.New(t.Budget),
+	if t.Book == nil {
+		t.Book = retrybudget.New(t.Budget)
+	}
+	return &Life{terms: t, now: now, dice: rand.New(rand.NewPCG(t.Seed, 0)), book: t.Book,
 		groups: map[string]*group{}, hosts: map[string]*Host{}, parts: map[uint64]*part{}, reqs: map[uint64]*Request{}}
 }
 
+// Book is the account of the retry budget, for a life that follows.
+func (l *Life) Book() *retrybudget.Book { return l.book }
+
 // Mixers tells how many mixers run; see retrybudget.Book.
 func (l *Life) Mixers(n int) { l.book.Mixers(n) }
 
@@ -151,10 +159,17 @@
 	l.settle(d.part)
 }
 
-// Abandon ends all that is in hand as if it may have run, and takes nothing more: after a fault in here nothing that
-// this life believes is to be relied on.
-func (l *Life) Abandon() {
+// Abandon ends all that is in hand as if it may have run, calls off what is out, and takes nothing more: after a fault in
+// here nothing that this life believes is to be relied on. It gives what is to be done.
+func (l *Life) Abandon() (acts []Act) {
 	l.over = true
+	for _, p := range l.parts {
+		for _, d := range p.tries {
+			if d.out && d.Call != nil {
+				acts = append(acts, Act{Dispatch: d, Cancel: true})
+			}
+		}
+	}
 	for _, r := range l.reqs {
 		if !r.ended {
 			r.ended = true
@@ -162,6 +177,7 @@
 		}
 	}
 	l.reqs, l.parts, l.timers = nil, nil, timers{}
+	return acts
 }
 
 // settle forgets a part that nothing can come for any more.
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -29,9 +29,10 @@
 
 // Book counts for one mixer.
 type Book struct {
-	terms  Terms
-	mixers int
-	of     map[string]*account
+	terms      Terms
+	mixers     int
+	slackSpent bool // by earlier lives of this mixer
+	of         map[string]*account
 }
 
 type account struct {
@@ -52,6 +53,10 @@
 	}
 }
 
+// SlackSpent tells whether earlier lives of this mixer have had its part of the slack, in a window that still counts. Until it
+// is told otherwise this one has none then, and only what the requests that it takes allow.
+func (b *Book) SlackSpent(spent bool) { b.slackSpent = spent }
+
 // Asked counts a request that is to reach the service.
 func (b *Book) Asked(now time.Duration, service string) {
 	if a := b.account(now, service); a != nil {
@@ -65,7 +70,10 @@
 	if a == nil || b.terms.Window <= 0 {
 		return a != nil
 	}
-	room := spareShare*b.terms.Ratio*float64(a.asked.least(now, b.terms.Window)) + b.terms.Slack/float64(lives*b.mixers)
+	room := spareShare * b.terms.Ratio * float64(a.asked.least(now, b.terms.Window))
+	if !b.slackSpent {
+		room += b.terms.Slack / float64(lives*b.mixers)
+	}
 	return float64(a.spent.High(now, b.terms.Window)+1) <= room
 }
 
