Tombstones of ids that never had an entry make room first

Finding, class: a bounded store whose entries a caller can make for nothing pushes out those that matter. A tombstone keeps the service of what it stood for; those without go first, in boundGone and makeRoom. Looked for elsewhere: the history of 512 versions takes only valid configurations; mixers' lives (5 s) and links (64) are bounded by use.

--- a/registry/beat.go
+++ b/registry/beat.go
@@ -79,7 +79,7 @@
 		if rec.State == Gone {
 			return Beaten{Gone: true, State: rec.State, Source: rec.Source, No: rec.No}
 		}
-		e.Calls = max(rec.Calls, rec.calls)
+		e.Calls, e.Plant = max(rec.Calls, rec.calls), rec.Plant
 	}
 	if !r.publish(e) {
 		return Beaten{Refused: true}
@@ -193,7 +193,8 @@
 	return b
 }
 
-// boundGone keeps the youngest tombstones, and makes room for a quarter more at once.
+// boundGone keeps the youngest tombstones, those of ids that never had an entry last, and makes room for a quarter more at
+// once.
 func (r *Registry) boundGone() {
 	if r.gone <= r.cfg.MaxGone {
 		return
@@ -204,12 +205,22 @@
 			tombs = append(tombs, rec)
 		}
 	}
-	slices.SortFunc(tombs, func(a, b *record) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(tombs, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(known(a), known(b)), a.at.Compare(b.at), cmp.Compare(a.ID, b.ID))
+	})
 	for _, rec := range tombs[:len(tombs)-r.cfg.MaxGone*3/4] {
 		r.drop(rec)
 	}
 }
 
+// known orders records of ids that had an entry, which names its service, behind those that never had.
+func known(rec *record) int {
+	if rec.Plant == "" {
+		return 0
+	}
+	return 1
+}
+
 // pruneSources forgets components of sources without entries. What a copy that late could bring
 // back is a stale entry, which costs a try. Above the bound the longest idle go first.
 func (r *Registry) pruneSources() {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -208,7 +208,7 @@
 		}
 	}
 	slices.SortFunc(spare, func(a, b *record) int {
-		return cmp.Or(-cmp.Compare(a.State/Gone, b.State/Gone), a.at.Compare(b.at), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(-cmp.Compare(a.State/Gone, b.State/Gone), cmp.Compare(known(a), known(b)), a.at.Compare(b.at), cmp.Compare(a.ID, b.ID))
 	})
 	for _, rec := range spare[:min(len(spare), r.cfg.MaxEntries/16+1)] {
 		r.drop(rec)
