--- a/internal/standin/rude/work.go
+++ b/internal/standin/rude/work.go
@@ -6,7 +6,7 @@
 
 // answer does with a request what the reply says, and tells whether the connection goes on.
 func (s *Server) answer(p *peer, c *Call, r *Reply) bool {
-	e := s.ledger.add(Entry{At: time.Now(), ID: c.AttemptID, Method: c.Method, Path: c.Path, Host: c.Host, Searcher: s.ID(), Conn: c.Conn})
+	e := s.ledger.add(Entry{At: time.Now(), ID: c.AttemptID, Method: c.Method, Path: c.Path, Host: c.Host, Searcher: s.ID(), Target: c.Target, Conn: c.Conn})
 	probe := c.Path == s.opts.ProbePath
 	switch {
 	case r.Way == ResetUnrun:
--- a/lab/soak/fronts.go
+++ b/lab/soak/fronts.go
@@ -72,7 +72,7 @@
 		switch {
 		case status == http.StatusNotFound && version <= shown:
 			r.violated("went back: front %d no longer has the route of version %d (%s)", i, version, id)
-		case status != 0 && status != http.StatusNotFound && version > shown:
+		case status == http.StatusOK && version > shown: // a 503 may say that no configuration is known
 			f.shown.Store(version)
 		}
 	}
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -41,7 +41,9 @@
 		if e.Ran {
 			ran[e.ID]++
 		}
-		arrived[e.ID+" "+services[e.Searcher]]++
+		if e.Target == e.Searcher { // at an address that has gone to another it is told so
+			arrived[e.ID+" "+services[e.Searcher]]++
+		}
 	}
 	for id, t := range sent {
 		if t.once() && ran[id] > 1 {
@@ -90,7 +92,7 @@
 	first := map[string]bool{}
 	asked, further := map[string][]time.Time{}, map[string][]time.Time{}
 	for _, e := range entries {
-		service := services[e.Searcher]
+		service := services[e.Target]
 		if key := e.ID + " " + service; first[key] {
 			further[service] = append(further[service], e.At)
 		} else {
