Controllers that hear each other wait on no pause and no dial that began before

Half of a second of them were links that waited: a dial begun while the peer had no power, a pause after one. A message from the peer, or its pull, ends both (keepalive.DialAgain, mail.heard, Puller.Alive).

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -53,7 +53,7 @@
 	nodes    []failuredetector.Node     // the list as the judge knows it
 	nodesAt  uint64                     // and its generation
 	peers    map[string]peer            // by node
-	pulls    map[string]func()          // ends the pull from a controller, by address
+	pulls    map[string]pull            // from each other controller, by address
 	answered map[string]time.Time       // when a controller last answered a pull, by where it serves news
 	kept     map[string]registry.Vector // what its disk holds, by the same
 	told     chan struct{}              // closed when kept changes, or the own disk holds more
@@ -66,6 +66,20 @@
 	recalled atomic.Uint64 // the version that the disk remembered at the start
 }
 
+// pull is what follows the news of another controller.
+type pull struct {
+	stop  func()
+	alive chan struct{} // of one place
+}
+
+// heard tells it that the other controller lives. The zero value has nobody to tell.
+func (p pull) heard() {
+	select {
+	case p.alive <- struct{}{}:
+	default:
+	}
+}
+
 type peer struct {
 	life string
 	ip   string
@@ -104,7 +118,7 @@
 func NewOn(on Platform, s *settings.Settings, life string, l *log.Logger) (*Controller, error) {
 	now := time.Now()
 	h := &Controller{set: s, log: l, life: life, fronts: map[string]*front{}, peers: map[string]peer{},
-		pulls: map[string]func(){}, answered: map[string]time.Time{}, kept: map[string]registry.Vector{}, told: make(chan struct{}), orders: make(chan struct{}, ordersMost),
+		pulls: map[string]pull{}, answered: map[string]time.Time{}, kept: map[string]registry.Vector{}, told: make(chan struct{}), orders: make(chan struct{}, ordersMost),
 		network: on.Network, plant: on.Plant}
 	h.judge = failuredetector.NewJudge(failuredetector.JudgeConfig{Period: s.BeatPeriod})
 	h.board = distribution.NewBoard(registry.New(registry.Config{Name: life, Period: s.BeatPeriod, Start: now}))
@@ -164,7 +178,7 @@
 	}
 	h.core.mail = newMail(ctx, h.network)
 	ended := make(chan error, 2)
-	go receive(ctx, lns[0], h.core.inbox)
+	go receive(ctx, lns[0], h.core.inbox, h.core.mail.heard)
 	news := distribution.Server{Board: h.board, Met: h.met}
 	go news.Serve(ctx, lns[1])
 	go h.serveCalls(ctx, lns[2])
@@ -283,20 +297,22 @@
 	h.board.SetCore(core)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for at, stop := range h.pulls {
+	for at, p := range h.pulls {
 		if !want[at] {
-			stop()
+			p.stop()
 			delete(h.pulls, at)
 			delete(h.answered, at)
 			delete(h.kept, at)
 		}
 	}
 	for at := range want {
-		if h.pulls[at] == nil {
+		if _, pulling := h.pulls[at]; !pulling {
 			ctx, stop := context.WithCancel(h.core.mail.ctx)
-			h.pulls[at] = stop
+			alive := make(chan struct{}, 1)
+			h.pulls[at] = pull{stop, alive}
 			p := distribution.Puller{Board: h.board, Node: h.set.Node, Life: h.life, IP: h.set.IP, Kind: "controller", Peer: true, Say: h.say,
-				Choose: func(int) string { return at }, Answered: func(_ string, _ *distribution.Cargo, asked time.Time) { h.answers(at, asked) }, Keeps: h.keeps, Network: h.network}
+				Choose: func(int) string { return at }, Answered: func(_ string, _ *distribution.Cargo, asked time.Time) { h.answers(at, asked) }, Keeps: h.keeps, Network: h.network,
+				Alive: alive}
 			go p.Run(ctx)
 		}
 	}
@@ -312,6 +328,7 @@
 		defer h.mu.Unlock()
 		h.noticeLapse(e)
 		h.peers[a.Node] = peer{a.Life, a.IP, time.Now()}
+		h.pulls[h.newsAddr(a.IP)].heard()
 		if a.Word != nil {
 			h.judge.Told(time.Now(), a.Node, *a.Word)
 		} else {
--- a/controlplane/mail.go
+++ b/controlplane/mail.go
@@ -16,6 +16,8 @@
 	queueMost   = 64
 	peersMost   = 64
 	unackedMost = 1200 * time.Millisecond
+	dialMost    = 500 * time.Millisecond
+	dialPause   = 200 * time.Millisecond // after a dial that failed
 )
 
 // mail carries messages between core machines, a connection for each direction. A message may be lost: what doesn't go
@@ -31,6 +33,7 @@
 // mailbox is what waits for one peer.
 type mailbox struct {
 	queue chan consensus.Message
+	alive chan struct{} // of one place: the peer has been heard
 	used  time.Time
 	stop  func()
 }
@@ -66,11 +69,11 @@
 		if len(m.boxes) >= peersMost && !m.forget(now) {
 			return nil
 		}
-		box = &mailbox{queue: make(chan consensus.Message, queueMost)}
+		box = &mailbox{queue: make(chan consensus.Message, queueMost), alive: make(chan struct{}, 1)}
 		var ctx context.Context
 		ctx, box.stop = context.WithCancel(m.ctx)
 		m.boxes[addr] = box
-		go m.deliver(ctx, addr, box.queue)
+		go m.deliver(ctx, addr, box)
 	}
 	box.used = now
 	return box
@@ -93,24 +96,41 @@
 }
 
 // deliver keeps a connection to one peer.
-func (m *mail) deliver(ctx context.Context, addr string, ch chan consensus.Message) {
+func (m *mail) deliver(ctx context.Context, addr string, box *mailbox) {
 	for ctx.Err() == nil {
-		c, err := m.network.Dial(ctx, addr, 500*time.Millisecond, unackedMost)
+		c, err := keepalive.DialAgain(ctx, m.network, addr, dialMost, unackedMost, box.alive)
 		if err != nil {
-			drop(ctx, ch, 200*time.Millisecond)
+			drop(ctx, box, dialPause)
 			continue
 		}
-		pump(ctx, c, ch)
+		pump(ctx, c, box.queue)
 	}
 }
 
-// drop throws away what waits: a peer that can't be reached should not be told old things first.
-func drop(ctx context.Context, ch chan consensus.Message, pause time.Duration) {
+// heard notes that a peer lives, so that no link to it waits any longer.
+func (m *mail) heard(addr string) {
+	m.mu.Lock()
+	box := m.boxes[addr]
+	m.mu.Unlock()
+	if box == nil {
+		return
+	}
+	select {
+	case box.alive <- struct{}{}:
+	default:
+	}
+}
+
+// drop throws away what waits: a peer that can't be reached should not be told old things first. It ends when the peer is
+// heard.
+func drop(ctx context.Context, box *mailbox, pause time.Duration) {
 	t := time.NewTimer(pause)
 	defer t.Stop()
 	for {
 		select {
-		case <-ch:
+		case <-box.queue:
+		case <-box.alive:
+			return
 		case <-t.C:
 			return
 		case <-ctx.Done():
@@ -141,8 +161,8 @@
 	}
 }
 
-// receive takes messages from peers until ctx ends.
-func receive(ctx context.Context, ln net.Listener, to chan<- consensus.Message) {
+// receive takes messages from peers until ctx ends; heard is told from whom.
+func receive(ctx context.Context, ln net.Listener, to chan<- consensus.Message, heard func(addr string)) {
 	keepalive.Accept(ctx, ln, func(c net.Conn) {
 		in := gob.NewDecoder(bufio.NewReaderSize(c, 4096))
 		for {
@@ -151,6 +171,7 @@
 			if in.Decode(&x) != nil {
 				return
 			}
+			heard(x.FromAddr)
 			select {
 			case to <- x:
 			case <-ctx.Done():
--- a/distribution/dial.go
+++ b/distribution/dial.go
@@ -48,7 +48,7 @@
 		}
 		out++
 		go func() {
-			c, err := network.Dial(ctx, addr, dialMost, silenceMost)
+			c, err := keepalive.DialAgain(ctx, network, addr, dialMost, silenceMost, p.Alive)
 			came <- dialled{c, addr, no, err}
 		}()
 	}
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -182,6 +182,8 @@
 	Better func(addr string) bool
 	// Network is dialled on; nil stands for TCP.
 	Network keepalive.Network
+	// Alive says that the server has been heard, so that no pause and no dial waits any longer; may be nil.
+	Alive <-chan struct{}
 	// MoveOn has a server that is out of touch left for another.
 	MoveOn bool
 
@@ -214,6 +216,7 @@
 		tried++
 		select {
 		case <-ctx.Done():
+		case <-p.Alive:
 		case <-time.After(min(pauseMost, pauseLeast<<min(tried-1, 4))):
 		}
 	}
--- a/internal/standin/rude/ledger.go
+++ b/internal/standin/rude/ledger.go
@@ -12,7 +12,7 @@
 	ID, Method, Path, Host string
 	Searcher               string
 	Target                 string // the searcher that was meant, if the request names one
-	Conn                   int // which of the searcher's connections
+	Conn                   int    // which of the searcher's connections
 	Ran                    bool
 	Dropped                bool // it ran until its connection closed
 }
