--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/rude"
+)
+
+// TestScheduleOfASeed: a seed draws one schedule; other seeds draw others, and every kind comes.
+func TestScheduleOfASeed(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range uint64(40) {
+		s := Draw(seed, time.Minute, nil)
+		must.Eq(t, s, Draw(seed, time.Minute, nil))
+		must.NotEq(t, s.Troubles, Draw(seed+1, time.Minute, nil).Troubles)
+		for i, x := range s.Troubles {
+			seen[x.Kind] = true
+			must.Less(t, time.Minute, x.At)
+			must.True(t, i == 0 || x.At >= s.Troubles[i-1].At)
+		}
+	}
+	must.Len(t, len(Kinds), slices.Collect(func(yield func(Kind) bool) {
+		for k := range seen {
+			yield(k)
+		}
+	}))
+	for _, x := range Draw(1, time.Minute, Planned).Troubles {
+		must.SliceContains(t, Planned, x.Kind)
+	}
+}
+
+func TestParseKinds(t *testing.T) {
+	kinds, err := ParseKinds("kill, cut,planned")
+	must.NoError(t, err)
+	must.Eq(t, append([]Kind{KillProcess, Cut}, Planned...), kinds)
+	_, err = ParseKinds("earthquake")
+	must.ErrorContains(t, err, "earthquake")
+}
+
+// judged is a run with nothing but what clients sent and searchers saw.
+func judged(t *testing.T) (*run, *searcher) {
+	t.Helper()
+	r := &run{system: &berths.System{Ledger: &rude.Ledger{}}, struck: map[*searcher]bool{}, began: time.Now()}
+	r.options.Dir = t.TempDir()
+	r.load = &load{run: r}
+	r.operators = &operators{run: r}
+	server, err := rude.Start(rude.Options{ID: "i-1", Ledger: r.system.Ledger})
+	must.NoError(t, err)
+	t.Cleanup(server.Close)
+	b, err := berths.NewSearcher(berths.SearcherOptions{Service: single, Control: []string{"127.0.0.1:1"}, Period: time.Hour, Server: rude.Options{ID: "i-2", Ledger: r.system.Ledger}})
+	must.NoError(t, err)
+	t.Cleanup(b.Close)
+	s := &searcher{Searcher: b}
+	r.searchers = append(r.searchers, s)
+	return r, s
+}
+
+// arrive has a request reach a searcher.
+func arrive(t *testing.T, s *searcher, lines ...string) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	must.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte(strings.Join(lines, "\r\n") + "\r\nHost: " + host + "\r\nTarget-Searcher: " + s.ID() + "\r\n\r\n"))
+	must.NoError(t, err)
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = c.Read(make([]byte, 1))
+	must.NoError(t, err)
+}
+
+// TestJudgeSees: each way of breaking a rule that the ledger shows is planted here.
+func TestJudgeSees(t *testing.T) {
+	post := func(id string) []string { return []string{"POST /single/1 HTTP/1.1", "Attempt-Id: " + id} }
+	for name, plant := range map[string]func(t *testing.T, r *run, s *searcher){
+		"ran twice": func(t *testing.T, r *run, s *searcher) {
+			r.load.requests = []*request{{tries: []*try{{id: "single-1-0", kind: single, path: "/single/1"}}}}
+			arrive(t, s, post("single-1-0")...)
+			arrive(t, s, post("single-1-0")...)
+		},
+		"refused what ran": func(t *testing.T, r *run, s *searcher) {
+			r.load.requests = []*request{{tries: []*try{{id: "single-1-0", kind: single, path: "/single/1", status: http.StatusServiceUnavailable}}}}
+			arrive(t, s, post("single-1-0")...)
+		},
+		"unasked": func(t *testing.T, r *run, s *searcher) { arrive(t, s, post("nobody's")...) },
+		"over its retries": func(t *testing.T, r *run, s *searcher) {
+			r.load.requests = []*request{{tries: []*try{{id: "get-1-0", kind: "get", path: "/get/1"}}}}
+			for range retries + 1 {
+				arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: get-1-0")
+			}
+		},
+		"over budget": func(t *testing.T, r *run, s *searcher) {
+			q := &request{}
+			r.load.requests = []*request{q}
+			for i := range retrySlack + retrySlack/2 {
+				id := "get-" + string(rune('a'+i))
+				q.tries = append(q.tries, &try{id: id, kind: "get", path: "/get/1"})
+				arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: "+id)
+				arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: "+id)
+			}
+		},
+		"after draining": func(t *testing.T, r *run, s *searcher) {
+			r.load.requests = []*request{{tries: []*try{{id: "get-1-0", kind: "get", path: "/get/1"}}}}
+			s.acked.Store(time.Now().Add(-2 * drainTime).UnixNano())
+			arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: get-1-0")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, s := judged(t)
+			r.judgeLedger()
+			must.SliceEmpty(t, r.violations)
+			plant(t, r, s)
+			r.judgeLedger()
+			must.Positive(t, len(r.violations))
+			must.StrContains(t, r.violations[0], name)
+		})
+	}
+}
+
+// TestOldConfigurationsAreSeen: what is read back is held against what was sent and acknowledged.
+func TestOldConfigurationsAreSeen(t *testing.T) {
+	o := &operators{}
+	acked := &order{version: 3, body: []byte("a"), acked: time.Now()}
+	refused := &order{version: 3, body: []byte("b"), conflict: true}
+	o.orders = []*order{acked, refused}
+	must.Eq(t, "", o.compare(3, []byte("a")))
+	must.Eq(t, "another one was acknowledged", o.compare(3, []byte("b")))
+	must.Eq(t, "another one was acknowledged", o.compare(3, []byte("c")))
+	must.Eq(t, "it was refused", (&operators{orders: []*order{refused}}).compare(3, []byte("b")))
+	must.Eq(t, "nobody sent it", o.compare(4, []byte("a")))
+}
