--- a/controlplane/simulation/faults.go
+++ b/controlplane/simulation/faults.go
@@ -17,6 +17,7 @@
 	BlackOut  Fault = "black-out"       // all machines lose power, fronts too
 	Wipe      Fault = "wipe"            // a core machine comes back with an empty disk
 	WipeDark  Fault = "wipe-dark"       // so does one, while all others lose power
+	WipeBlack Fault = "wipe-black"      // the same, and all fronts lose power as well
 	Replace   Fault = "replace"         // one goes for good, an empty one comes at another address
 	Planned   Fault = "replace-planned" // the new one first, then the old one is told to leave
 	Leave     Fault = "leave"           // a controller is told to end, and starts again
@@ -30,7 +31,7 @@
 
 // Faults lists them.
 func Faults() []Fault {
-	return []Fault{Kill, Power, PowerAll, KillAll, BlackOut, Wipe, WipeDark, Replace, Planned, Leave, Cut, CutOneWay, CutAll, DiskFull,
+	return []Fault{Kill, Power, PowerAll, KillAll, BlackOut, Wipe, WipeDark, WipeBlack, Replace, Planned, Leave, Cut, CutOneWay, CutAll, DiskFull,
 		DiskStall, Fronts}
 }
 
@@ -124,7 +125,7 @@
 	}
 	lost := long
 	switch kind {
-	case Kill, Power, Wipe, WipeDark, Replace, Planned:
+	case Kill, Power, Wipe, WipeDark, WipeBlack, Replace, Planned:
 		lost = short
 	case Leave:
 		lost = short + 3*time.Second
@@ -141,7 +142,7 @@
 	case Wipe:
 		w.wipe(m)
 		w.back(m, short)
-	case WipeDark:
+	case WipeDark, WipeBlack:
 		for _, o := range w.present() {
 			if o != m {
 				w.end(o, true)
@@ -150,6 +151,9 @@
 		}
 		w.wipe(m)
 		w.back(m, short)
+		if kind == WipeBlack {
+			w.restartAllFronts()
+		}
 	case Replace:
 		w.replace(m, short, false)
 	case Planned:
@@ -191,9 +195,14 @@
 		w.lostTo = t
 	}
 	if kind == BlackOut {
-		for _, f := range w.fronts {
-			w.restart(f, true, true)
-		}
+		w.restartAllFronts()
+	}
+}
+
+// restartAllFronts has all fronts lose power; the lock is held.
+func (w *World) restartAllFronts() {
+	for _, f := range w.fronts {
+		w.restart(f, true, true)
 	}
 }
 
--- a/controlplane/simulation/simulation_test.go
+++ b/controlplane/simulation/simulation_test.go
@@ -52,3 +52,20 @@
 		t.Logf("seed %d: %+v", first+i, r)
 	}
 }
+
+// TestDiskLostWhileAllGoDark: right after an acknowledgement a disk is lost and all other machines lose power, fronts too, again
+// and again. What was acknowledged is there, and fronts that know nothing serve by nothing older.
+func TestDiskLostWhileAllGoDark(t *testing.T) {
+	first := number("SIMULATION_FIRST", 1)
+	for i := range number("SIMULATION_SEEDS", 2) {
+		for _, moment := range []simulation.Moment{simulation.OrderTaken, simulation.DrainTaken} {
+			for _, controllers := range []int{3, 5} {
+				r := play(t, simulation.Options{Seed: uint64(first + i), Span: 40 * time.Second, Controllers: controllers, Fronts: 3, Searchers: 6,
+					Faults: []simulation.Fault{simulation.WipeBlack}, Armed: true, At: moment, Step: 6 * time.Second})
+				if r.Faults == 0 {
+					t.Errorf("seed %d: nothing was lost", first+i)
+				}
+			}
+		}
+	}
+}
