--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -49,6 +49,7 @@
 	hosts   []request.Host
 	leaving atomic.Bool
 	sight   *sight
+	plant   func(request.Step, []string) // a fault that a test plants in what decides
 }
 
 // New makes a proxy from what it is told.
@@ -65,7 +66,7 @@
 // newLife starts what decides, on the retry budget's account of a life before if there was one.
 func (q *Proxy) newLife(book *retrybudget.Book) *request.Life {
 	return request.New(request.Terms{Seed: uint64(time.Now().UnixNano()),
-		Book: book, Budget: retrybudget.Terms{Ratio: q.set.RetryRatio, Slack: q.set.RetrySlack, Window: q.set.RetryWindow}}, q.now())
+		Book: book, Plant: q.plant, Budget: retrybudget.Terms{Ratio: q.set.RetryRatio, Slack: q.set.RetrySlack, Window: q.set.RetryWindow}}, q.now())
 }
 
 // AgentPort is where an agent feeds the proxy beside it, over loopback.
--- a/request/group.go
+++ b/request/group.go
@@ -103,6 +103,7 @@
 }
 
 func (g *group) begin(r *Request, left time.Duration) {
+	g.step(StepBegin)
 	g.m.At(g.l.now)
 	g.busy++
 	if g.asleep {
@@ -130,6 +131,7 @@
 		g.asleep = true
 		return
 	}
+	g.step(StepWoke)
 	g.m.At(g.l.now)
 	g.m.Woke(token)
 }
@@ -146,6 +148,7 @@
 }
 
 func (g *group) returned(d *Dispatch, out brain.Outcome, took time.Duration) {
+	g.step(StepReturned)
 	g.m.At(g.l.now)
 	d.host.out--
 	g.m.Returned(d.part.id, d.no, out, took)
--- a/request/life.go
+++ b/request/life.go
@@ -15,6 +15,8 @@
 	Budget retrybudget.Terms
 	// Book is that of a life before, after a fault in it: what was spent still counts. A new one if nil.
 	Book *retrybudget.Book
+	// Plant is called at each step of the module, with the set of services that it is for: tests have it panic. Nil in service.
+	Plant func(step Step, services []string)
 }
 
 // Life holds all that is in hand. It is not safe for concurrent use.
