A fault in what decides for one set of services ends the requests on that set alone, and leaves nobody waiting

The module of a set of services is entered and left by name (group.enter); a panic in between is contained: that set's requests end, its dispatches are called off, its next request gets a new module. Timers that are due, the event and what comes of both are guarded each by itself, so that a fault of another's timer loses no request; a request is in hand before anything can fail for it.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -229,9 +229,11 @@
 func (q *Proxy) do(event func()) {
 	var buf [8]request.Act
 	for _, a := range q.step(event, buf[:0]) {
-		if a.Cancel {
+		switch {
+		case a.Dispatch.Call == nil: // a fault came before it was made ready, and has ended its request
+		case a.Cancel:
 			a.Dispatch.Call.(*sending).call.Cancel()
-		} else {
+		default:
 			go q.send(a.Dispatch)
 		}
 	}
@@ -240,29 +242,44 @@
 func (q *Proxy) step(event func(), into []request.Act) (acts []request.Act) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	// Each by itself: a fault in what is due must not lose the event.
+	acts = append(into, q.guard(func() { q.life.At(q.now()) })...)
+	acts = append(acts, q.guard(event)...)
+	calledOff := len(acts)
+	faults := q.guard(func() {
+		acts = q.life.Take(acts)
+		for _, a := range acts[calledOff:] {
+			if !a.Cancel {
+				q.prepare(a.Dispatch)
+			}
+		}
+	})
+	q.arm()
+	return append(acts, faults...)
+}
+
+// guard has something decided, and gives what a fault in it wants called off.
+func (q *Proxy) guard(decide func()) (calledOff []request.Act) {
 	defer func() {
 		if e := recover(); e != nil {
-			acts = q.restart(e)
+			calledOff = q.restart(e)
 		}
 	}()
-	q.life.At(q.now())
-	event()
-	acts = q.life.Take(into)
-	for _, a := range acts {
-		if !a.Cancel {
-			q.prepare(a.Dispatch)
-		}
-	}
-	q.arm()
-	return acts
+	decide()
+	return nil
 }
 
-// restart keeps a fault in what decides from ending the process: what is in hand ends as if it may have run and is called
-// off, and a new life starts with the list as known and what is left of the retry budget. The lock is held.
+// restart keeps a fault in what decides from ending the process. One in the module of one set of services ends what is in hand
+// for that set; any other ends all that is in hand, and a new life starts with the list as known and what is left of the retry
+// budget. What ends does so as if it may have run, and is called off. The lock is held.
 func (q *Proxy) restart(why any) []request.Act {
-	q.log.Error().Str("event", "panic").Any("why", why).Bytes("stack", debug.Stack()).Msg("")
-	old := q.life
 	q.sight.restarts.Add(1)
+	acts, contained := q.life.Contain()
+	q.log.Error().Str("event", "panic").Any("why", why).Bool("contained", contained).Bytes("stack", debug.Stack()).Msg("")
+	if contained {
+		return acts
+	}
+	old := q.life
 	q.life, q.armed = q.newLife(old.Book()), 0
 	q.life.Mixers(q.mixers)
 	q.life.List(q.hosts)
--- a/request/group.go
+++ b/request/group.go
@@ -32,8 +32,10 @@
 	hosts   map[string]*host // by id
 	byIndex []*host
 	free    []int
-	busy    int  // requests in hand
-	asleep  bool // its beat is held until there is something in hand
+	key     string // in l.groups
+	busy    int    // requests in hand
+	over    bool   // after a fault in it
+	asleep  bool   // its beat is held until there is something in hand
 }
 
 // host is what a group knows of a searcher.
@@ -62,7 +64,7 @@
 	if len(l.groups) >= groupsMost {
 		maps.DeleteFunc(l.groups, func(_ string, g *group) bool { return g.asleep }) // what is out there still comes back to it
 	}
-	g := &group{l: l, cells: services, classes: map[class]int{}, hosts: map[string]*host{}}
+	g := &group{l: l, key: key, cells: services, classes: map[class]int{}, hosts: map[string]*host{}}
 	g.m = brain.New(brain.Settings{Seed: l.terms.Seed, Mixers: 1, Cells: len(services), Reach: 1, PartsPerCall: 1, MaxTries: 1,
 		SecondCopies: true, RetryAdvice: true, MaxRetryIn: retryMost, Round: granularity, AskEvery: time.Second,
 		Few: 3, Patient: true, Soonest: true, Spare: func(cell int) bool { return l.book.Room(l.now, g.cells[cell]) }}, port{g}, l.now)
@@ -103,7 +105,7 @@
 }
 
 func (g *group) begin(r *Request, left time.Duration) {
-	g.step(StepBegin)
+	g.enter(StepBegin)
 	g.m.At(g.l.now)
 	g.busy++
 	if g.asleep {
@@ -117,13 +119,14 @@
 	g.m.Scan(r.id, r.id, g.class(r.Route), -1, left, 0, n, false)
 	for i, s := range r.shards {
 		if r.ended {
-			return
+			break
 		}
 		p := &part{id: g.l.id(), req: r, service: s}
 		g.l.parts[p.id] = p
 		r.parts = append(r.parts, p)
 		g.m.Part(p.id, r.id, i, 1/float64(n))
 	}
+	g.done()
 }
 
 func (g *group) woke(token uint64) {
@@ -131,9 +134,10 @@
 		g.asleep = true
 		return
 	}
-	g.step(StepWoke)
+	g.enter(StepWoke)
 	g.m.At(g.l.now)
 	g.m.Woke(token)
+	g.done()
 }
 
 func (g *group) left(r *Request) {
@@ -148,11 +152,12 @@
 }
 
 func (g *group) returned(d *Dispatch, out brain.Outcome, took time.Duration) {
-	g.step(StepReturned)
+	g.enter(StepReturned)
 	g.m.At(g.l.now)
 	d.host.out--
 	g.m.Returned(d.part.id, d.no, out, took)
 	g.release(d.host)
+	g.done()
 }
 
 // port is what the module can have done.
--- a/request/life.go
+++ b/request/life.go
@@ -31,7 +31,8 @@
 	reqs   map[uint64]*Request
 	ids    uint64
 	timers timers
-	over   bool // after Abandon
+	over   bool   // after Abandon
+	inside *group // whose module is deciding
 	acts   []Act
 	Counts Counts
 }
@@ -59,7 +60,9 @@
 		if !ok {
 			return
 		}
-		t.group.woke(t.token)
+		if !t.group.over {
+			t.group.woke(t.token)
+		}
 	}
 }
 
@@ -89,13 +92,14 @@
 // Begin takes a request. Its answer may come within the call.
 func (l *Life) Begin(r *Request) {
 	l.Counts.Taken++
+	r.id = l.id()
+	l.reqs[r.id] = r // before anything can fail: whoever is here gets an answer
 	services := r.Route.FanOut
 	if len(services) == 0 {
 		services = []string{l.choose(r.Route)}
 	}
 	g := l.group(services)
-	r.id, r.group, r.shards = l.id(), g, services
-	l.reqs[r.id] = r
+	r.group, r.shards = g, services
 	if r.Until <= l.now {
 		l.finish(r, Final{Kind: Refused, Reason: TimeOver})
 		return
@@ -161,27 +165,6 @@
 	l.settle(d.part)
 }
 
-// Abandon ends all that is in hand as if it may have run, calls off what is out, and takes nothing more: after a fault in
-// here nothing that this life believes is to be relied on. It gives what is to be done.
-func (l *Life) Abandon() (acts []Act) {
-	l.over = true
-	for _, p := range l.parts {
-		for _, d := range p.tries {
-			if d.out && d.Call != nil {
-				acts = append(acts, Act{Dispatch: d, Cancel: true})
-			}
-		}
-	}
-	for _, r := range l.reqs {
-		if !r.ended {
-			r.ended = true
-			r.Done(Final{Kind: Failed, Reason: ProcessFailed, Tries: l.tries(r)})
-		}
-	}
-	l.reqs, l.parts, l.timers = nil, nil, timers{}
-	return acts
-}
-
 // settle forgets a part that nothing can come for any more.
 func (l *Life) settle(p *part) {
 	if !p.req.ended {
--- a/request/plant.go
+++ b/request/plant.go
@@ -10,8 +10,13 @@
 	StepReturned             // a dispatch has come back
 )
 
-func (g *group) step(s Step) {
+// enter notes that the group's module is about to decide: should that fail, the fault is the group's alone; see Contain. The
+// caller says when it is done.
+func (g *group) enter(s Step) {
+	g.l.inside = g
 	if g.l.terms.Plant != nil {
 		g.l.terms.Plant(s, g.cells)
 	}
 }
+
+func (g *group) done() { g.l.inside = nil }
