--- a/cmd/peathollow/soak.go
+++ b/cmd/peathollow/soak.go
@@ -29,6 +29,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Destination: &o.Seed, Usage: "draws the schedule"},
 			&cli.DurationFlag{Name: "for", Value: time.Minute, Destination: &o.For, Usage: "trouble for so long; some calm seconds follow"},
 			&cli.IntFlag{Name: "rate", Value: soakRate, Destination: &o.Rate, Usage: "requests a second"},
+			&cli.IntFlag{Name: "at-once", Value: 3, Destination: &o.AtOnce, Usage: "troubles at a time"},
 			&cli.StringFlag{Name: "trouble", Destination: &kinds, Usage: "only these `KIND[,KIND]`; \"planned\" for planned work"},
 			&cli.StringFlag{Name: "dir", Destination: &o.Dir, Usage: "an empty `FOLDER` for logs, ledger and schedule"},
 			&cli.BoolFlag{Name: "follow", Destination: &follow, Usage: "print each trouble as it begins and ends"},
--- a/internal/standin/berths/process.go
+++ b/internal/standin/berths/process.go
@@ -65,6 +65,9 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return // it never started
+	}
 	select {
 	case <-p.ended:
 		return // by itself, or as it was asked before
@@ -74,10 +77,15 @@
 	p.cmd.Process.Signal(s)
 }
 
-// Ended is closed once the present life is over.
+// Ended is closed once the present life is over, and while there has been none.
 func (p *Process) Ended() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd == nil {
+		never := make(chan struct{})
+		close(never)
+		return never
+	}
 	return p.ended
 }
 
@@ -98,6 +106,9 @@
 func (p *Process) Fault() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
 	select {
 	case <-p.ended:
 	default:
--- a/internal/standin/berths/system.go
+++ b/internal/standin/berths/system.go
@@ -43,6 +43,7 @@
 	Env         []string // for it
 	Controllers int      // 3 if 0
 	Fronts      int      // 2 if 0
+	Spares      int      // controllers that are set up and not started; they come with empty disks
 	Dir         string   // for settings, logs and disks, and kept after the end; one that is removed then if empty
 	Relay       string   // that the processes dial each other through, if not empty; see keepalive.TCP
 	Settings    string   // further lines for all settings files
@@ -53,7 +54,7 @@
 	Control   []string     // of the controllers
 	Fronts    []string     // where clients are served
 	Ready     []string     // where fronts tell that they are ready
-	Processes []*Process   // controllers first, then each front's agent and proxy
+	Processes []*Process   // controllers first, then each front's agent and proxy, then spare controllers
 	Ledger    *rude.Ledger // of all searchers
 
 	mu        sync.Mutex
@@ -88,8 +89,8 @@
 	if o.Fronts == 0 {
 		o.Fronts = frontsUsual
 	}
-	if o.Controllers > controllersMost || o.Fronts > frontsMost {
-		return nil, errors.Errorf("%d controllers and %d fronts: %d and %d at most", o.Controllers, o.Fronts, controllersMost, frontsMost)
+	if o.Controllers+o.Spares > controllersMost || o.Fronts > frontsMost {
+		return nil, errors.Errorf("%d controllers and %d fronts: %d and %d at most", o.Controllers+o.Spares, o.Fronts, controllersMost, frontsMost)
 	}
 	for try := 0; ; try++ {
 		s, err := launchAt(o)
@@ -119,7 +120,7 @@
 
 // launch starts all processes.
 func (s *System) launch() error {
-	for i := range s.options.Controllers {
+	for i := range s.options.Controllers + s.options.Spares {
 		s.Control = append(s.Control, at(controllerIP(i), s.base+portControl))
 	}
 	for i := range s.options.Controllers {
@@ -132,7 +133,12 @@
 			return err
 		}
 	}
-	s.client = client.New(s.Control...)
+	for i := range s.options.Spares {
+		if err := s.launchController(s.options.Controllers + i); err != nil {
+			return err
+		}
+	}
+	s.client = client.New(s.Control[:s.options.Controllers]...)
 	return nil
 }
 
@@ -186,7 +192,7 @@
 	if err != nil {
 		return "", "", errors.Wrap(err, "resolve")
 	}
-	for i := range s.options.Controllers {
+	for i := range s.options.Controllers + s.options.Spares {
 		if ip == controllerIP(i) && port < s.base+portControl {
 			port = s.base + (port-s.base)%rangeLength
 		}
@@ -294,11 +300,11 @@
 	if err := os.WriteFile(p.Conf, []byte(conf), 0o600); err != nil {
 		return errors.Wrap(err, name)
 	}
-	if err := p.Start(); err != nil {
-		return err
-	}
 	s.Processes = append(s.Processes, p)
-	return nil
+	if len(s.Processes) > s.options.Controllers+2*s.options.Fronts {
+		return nil // a spare
+	}
+	return p.Start()
 }
 
 // zones is how many there are.
@@ -325,7 +331,7 @@
 bounds.grace-s=%g
 lab-relay=%s
 %s
-`, node, class, ip, zone(i), ports, ports+rangeLength-1, strings.Join(s.Control[:min(seedsMost, len(s.Control))], ","), beatPeriod.Milliseconds(),
+`, node, class, ip, zone(i), ports, ports+rangeLength-1, strings.Join(s.Control[:min(seedsMost, s.options.Controllers)], ","), beatPeriod.Milliseconds(),
 		grace.Seconds(), s.options.Relay, s.options.Settings)
 }
 
--- a/lab/soak/options.go
+++ b/lab/soak/options.go
@@ -13,6 +13,7 @@
 	For     time.Duration // of trouble; some calm seconds follow
 	Rate    int           // requests a second
 	Trouble []Kind        // all kinds if empty
+	AtOnce  int           // troubles at a time; 3 if 0
 	Dir     string        // for logs, ledger and schedule; a new one under the temporary folder if empty
 	Out     func(string)  // is told how the run goes; may be nil
 }
@@ -22,6 +23,7 @@
 	lengthLeast = time.Second
 	lengthMost  = time.Hour
 	rateMost    = 1000
+	atOnceMost  = 20
 )
 
 // Check says what is wrong with the options.
@@ -29,6 +31,8 @@
 	switch {
 	case o.For < lengthLeast || o.For > lengthMost:
 		return errors.Errorf("--for %v: %v to %v", o.For, lengthLeast, lengthMost)
+	case o.AtOnce < 0 || o.AtOnce > atOnceMost:
+		return errors.Errorf("--at-once %d: 1 to %d", o.AtOnce, atOnceMost)
 	case o.Rate < 1 || o.Rate > rateMost:
 		return errors.Errorf("--rate %d: 1 to %d", o.Rate, rateMost)
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,8 +48,9 @@
 	probes        *http.Client
 	probeNumber   atomic.Int64
 	places        atomic.Int64
-	births        atomic.Int64 // of searchers: each life has an id of its own
-	locks         []sync.Mutex // by process
+	births        atomic.Int64      // of searchers: each life has an id of its own
+	locks         []sync.Mutex      // by process
+	active        []*berths.Process // those that are not gone for good or still to come; under the lock mu
 
 	mu         sync.Mutex
 	searchers  []*searcher
@@ -71,7 +73,7 @@
 		}
 		o.Dir = dir
 	}
-	r := &run{options: o, schedule: Draw(o.Seed, o.For, o.Trouble), ctx: ctx, struck: map[*searcher]bool{}, began: time.Now()}
+	r := &run{options: o, schedule: Draw(o.Seed, o.For, o.Trouble, o.AtOnce), ctx: ctx, struck: map[*searcher]bool{}, began: time.Now()}
 	log, err := os.Create(filepath.Join(o.Dir, "soak.log"))
 	if err != nil {
 		return nil, errors.Wrap(err, "log")
@@ -135,7 +137,7 @@
 	r.through = through
 	env := []string{invariant.FatalVariable + "=fatal", "PEATHOLLOW_LOG=info"}
 	r.system, err = berths.Launch(berths.Options{Program: r.options.Program, Env: env, Controllers: r.schedule.Shape.Controllers,
-		Fronts: r.schedule.Shape.Fronts, Dir: r.options.Dir, Relay: through,
+		Fronts: r.schedule.Shape.Fronts, Spares: r.schedule.Shape.Spares, Dir: r.options.Dir, Relay: through,
 		Settings: fmt.Sprintf("bounds.drain-ms=%d", drainTime.Milliseconds())})
 	if err != nil {
 		return err
@@ -143,6 +145,7 @@
 	resolve := resolver(r.system.Resolve)
 	r.network.resolve.Store(&resolve)
 	r.locks = make([]sync.Mutex, len(r.system.Processes))
+	r.active = slices.Clone(r.system.Processes[:len(r.system.Processes)-r.schedule.Shape.Spares])
 	r.fronts = make([]front, len(r.system.Fronts))
 	if err := r.open(); err != nil {
 		return errors.Join(err, r.system.Stop())
@@ -208,7 +211,7 @@
 
 // judge says what was wrong.
 func (r *run) judge(calm time.Time, result *Result) {
-	for _, p := range r.system.Processes {
+	for _, p := range r.present("") {
 		r.ending(p)
 	}
 	r.judgeCalm(calm, result)
@@ -260,7 +263,7 @@
 	if !read {
 		r.violated("not read back: the configuration was asked for during %v of calm", contactTime)
 	}
-	for _, p := range r.system.Processes {
+	for _, p := range r.present("") {
 		figures := r.figures(ctx, p)
 		os.WriteFile(filepath.Join(r.options.Dir, p.Name+".metrics"), []byte(figures), 0o600)
 		if figures == "" {
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -37,6 +37,7 @@
 	LoseAnswers     Kind = "lose-answers"     // of controllers to searchers and operators
 	WipeDisk        Kind = "wipe-disk"        // a controller is killed and its disk lost
 	WipeAndKillAll  Kind = "wipe-and-kill"    // the same while all other processes are killed
+	ReplaceCore     Kind = "replace-core"     // a controller is gone for good, an empty one comes at another address
 	SearcherCrash   Kind = "searcher-crash"   // another takes its place
 	SearcherMute    Kind = "searcher-mute"    // takes requests and says nothing
 	SearcherDrain   Kind = "searcher-drain"   // leaves in order
@@ -51,7 +52,7 @@
 
 // Kinds are all there are.
 var Kinds = []Kind{KillProcess, KillMachine, KillCore, KillAll, KillRepeatedly, Freeze, FreezeMachine, Terminate, TerminateTwice, TerminateEarly,
-	Reload, ReloadEarly, ReloadTorn, Cut, CutOneWay, Isolate, IsolateOutside, Slow, Reset, LoseAnswers, WipeDisk, WipeAndKillAll,
+	Reload, ReloadEarly, ReloadTorn, Cut, CutOneWay, Isolate, IsolateOutside, Slow, Reset, LoseAnswers, WipeDisk, WipeAndKillAll, ReplaceCore,
 	SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, Race, Storm, Abuse}
 
 // Planned are those after which no request of a client may be lost.
@@ -74,7 +75,7 @@
 }
 
 // Shape says how large the system of a run is.
-type Shape struct{ Controllers, Fronts int }
+type Shape struct{ Controllers, Fronts, Spares int }
 
 // Trouble is one entry of a schedule.
 type Trouble struct {
@@ -100,6 +101,7 @@
 	gapMean      = 700 * time.Millisecond
 	shortest     = 50 * time.Millisecond
 	longest      = 4 * time.Second
+	longestOfAll = 20 * time.Second // in a long run
 	wipesApart   = 15 * time.Second // of disks: one may be lost at a time, and the next once the first is made good
 	wipeRoom     = 3 * time.Second  // from any wipe to the end of the trouble
 	chooseAmong  = 1 << 16
@@ -108,34 +110,44 @@
 	shapeChances = 4
 )
 
-// Draw draws a schedule. The same seed, length and kinds give the same one.
-func Draw(seed uint64, length time.Duration, kinds []Kind) Schedule {
+// Draw draws a schedule. The same seed, length, kinds and number at once give the same one.
+func Draw(seed uint64, length time.Duration, kinds []Kind, atOnce int) Schedule {
+	if atOnce == 0 {
+		atOnce = atOnceUsual
+	}
 	if len(kinds) == 0 {
 		kinds = Kinds
 	}
 	random := rand.New(rand.NewPCG(seed, uint64(len(kinds))))
-	s := Schedule{Shape: Shape{Controllers: 3, Fronts: 2}}
+	s := Schedule{Shape: Shape{Controllers: 3, Fronts: 2, Spares: 2}}
 	if random.IntN(shapeChances) == 0 {
-		s.Shape = Shape{Controllers: 5, Fronts: 3 + random.IntN(2)}
+		s.Shape = Shape{Controllers: 4, Fronts: 3 + random.IntN(2), Spares: 1}
+		if random.IntN(2) == 0 {
+			s.Shape.Controllers, s.Shape.Spares = 5, 0
+		}
 	}
 	var ends []time.Duration // of what is under way
-	wiped := -wipesApart
-	for at := firstAt; at < length; at += time.Duration(random.ExpFloat64() * float64(gapMean)) {
+	wiped, spares := -wipesApart, s.Shape.Spares
+	gap := float64(gapMean) * atOnceUsual / float64(atOnce)
+	for at := firstAt; at < length; at += time.Duration(random.ExpFloat64() * gap) {
 		t := Trouble{At: at, Kind: kinds[random.IntN(len(kinds))], One: random.IntN(chooseAmong), Two: random.IntN(chooseAmong),
 			Chance: random.IntN(chooseAmong)}
 		t.For = shortest + time.Duration(random.Float64()*random.Float64()*float64(longest-shortest))
 		if random.IntN(longShare) == 0 {
-			t.For = longest
+			t.For = max(longest, min(longestOfAll, length/3))
 		}
 		ends = slices.DeleteFunc(ends, func(end time.Duration) bool { return end <= at })
-		if len(ends) >= atOnceUsual {
+		if len(ends) >= atOnce {
 			continue
 		}
-		if t.Kind == WipeDisk || t.Kind == WipeAndKillAll {
-			if at-wiped < wipesApart || at+wipeRoom > length {
+		if t.Kind == WipeDisk || t.Kind == WipeAndKillAll || t.Kind == ReplaceCore {
+			if at-wiped < wipesApart || at+wipeRoom > length || t.Kind == ReplaceCore && spares == 0 {
 				continue
 			}
 			wiped = at
+			if t.Kind == ReplaceCore {
+				spares--
+			}
 		}
 		ends = append(ends, at+t.For)
 		s.Troubles = append(s.Troubles, t)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -18,9 +18,9 @@
 func TestScheduleOfASeed(t *testing.T) {
 	seen := map[Kind]bool{}
 	for seed := range uint64(40) {
-		s := Draw(seed, time.Minute, nil)
-		must.Eq(t, s, Draw(seed, time.Minute, nil))
-		must.NotEq(t, s.Troubles, Draw(seed+1, time.Minute, nil).Troubles)
+		s := Draw(seed, time.Minute, nil, 0)
+		must.Eq(t, s, Draw(seed, time.Minute, nil, 0))
+		must.NotEq(t, s.Troubles, Draw(seed+1, time.Minute, nil, 0).Troubles)
 		for i, x := range s.Troubles {
 			seen[x.Kind] = true
 			must.Less(t, time.Minute, x.At)
@@ -32,7 +32,7 @@
 			yield(k)
 		}
 	}))
-	for _, x := range Draw(1, time.Minute, Planned).Troubles {
+	for _, x := range Draw(1, time.Minute, Planned, 0).Troubles {
 		must.SliceContains(t, Planned, x.Kind)
 	}
 }
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -64,18 +65,32 @@
 }
 
 func (r *run) oneOf(choice int) *berths.Process {
-	return r.system.Processes[choice%len(r.system.Processes)]
+	all := r.present("")
+	return all[choice%len(all)]
+}
+
+// present gives the processes that are there, of one role or of all.
+func (r *run) present(role string) (all []*berths.Process) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.active {
+		if role == "" || p.Role == role {
+			all = append(all, p)
+		}
+	}
+	return all
 }
 
 func (r *run) machine(choice int) string { return r.oneOf(choice).Machine }
 
 func (r *run) controller(choice int) *berths.Process {
-	return r.system.Processes[choice%r.schedule.Shape.Controllers]
+	all := r.present("controller")
+	return all[choice%len(all)]
 }
 
 // ofMachine gives a machine's processes.
 func (r *run) ofMachine(machine string) (all []*berths.Process) {
-	for _, p := range r.system.Processes {
+	for _, p := range r.present("") {
 		if p.Machine == machine {
 			all = append(all, p)
 		}
@@ -90,9 +105,9 @@
 	case KillMachine:
 		r.kill(t.For, nil, r.ofMachine(r.machine(t.One))...)
 	case KillCore:
-		r.kill(startDelay, nil, r.system.Processes[:r.schedule.Shape.Controllers]...)
+		r.kill(startDelay, nil, r.present("controller")...)
 	case KillAll:
-		r.kill(startDelay, nil, r.system.Processes...)
+		r.kill(startDelay, nil, r.present("")...)
 	case KillRepeatedly:
 		for range 2 + t.Chance%(repeatMost-1) {
 			r.kill(startDelay, nil, r.oneOf(t.One))
@@ -116,6 +131,8 @@
 		r.torn(r.oneOf(t.One))
 	case WipeDisk, WipeAndKillAll:
 		r.wipe(t)
+	case ReplaceCore:
+		r.replaceCore(r.controller(t.One))
 	case Race:
 		r.operators.race(r.ctx)
 	case Storm:
@@ -300,7 +317,7 @@
 	p := r.controller(t.One)
 	all := []*berths.Process{p}
 	if t.Kind == WipeAndKillAll {
-		all = r.system.Processes
+		all = r.present("")
 	}
 	r.kill(startDelay, func() {
 		if err := r.system.Wipe(p.Machine); err != nil {
@@ -309,6 +326,30 @@
 	}, all...)
 }
 
+// replaceCore has a controller go for good and an empty one come at another address.
+func (r *run) replaceCore(p *berths.Process) {
+	held := r.hold([]*berths.Process{p})
+	defer held.release()
+	p.Kill()
+	r.pause(startDelay)
+	r.mu.Lock()
+	i := slices.Index(r.active, p)
+	var spare *berths.Process
+	for _, x := range r.system.Processes {
+		if x.Role == "controller" && x.Lives() == 0 {
+			spare = x
+		}
+	}
+	if i >= 0 && spare != nil {
+		r.active[i] = spare
+	}
+	r.mu.Unlock()
+	if i < 0 || spare == nil {
+		return // another trouble has replaced it
+	}
+	r.startAll([]*berths.Process{spare})
+}
+
 // storm sends configurations in quick succession.
 func (r *run) storm(span time.Duration) {
 	var all sync.WaitGroup
