--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -158,7 +158,7 @@
 	}
 	if doc != nil && (was == nil || doc.Version > was.Version) {
 		q.doc.Store(doc)
-		q.sight.configured(time.Now())
+		q.sight.configured(q.now())
 		q.log.Info().Str("event", "configuration").Uint64("version", doc.Version).Int("routes", len(doc.Routes)).Msg("")
 	}
 	var gen uint64
@@ -174,7 +174,7 @@
 		return false
 	})
 	n := q.board.Mixers()
-	q.sight.told(time.Now())
+	q.sight.told(q.now())
 	spent := q.board.SlackSpent()
 	q.do(func() {
 		q.mixers = n
--- a/proxy/sight.go
+++ b/proxy/sight.go
@@ -23,7 +23,7 @@
 	turnedAway    atomic.Uint64                     // requests that were never taken
 	gone          atomic.Uint64                     // clients that left before their answer
 	restarts      atomic.Uint64                     // of what decides, after a fault in it
-	toldAt        atomic.Int64                      // when the agent last answered, in Unix nanoseconds
+	toldAt        atomic.Int64                      // when the agent last answered, by the proxy's own clock
 	configuredAt  atomic.Int64
 	configuration atomic.Uint64 // changes of it
 }
@@ -37,10 +37,10 @@
 	return s
 }
 
-func (s *sight) told(now time.Time) { s.toldAt.Store(now.UnixNano()) }
+func (s *sight) told(now time.Duration) { s.toldAt.Store(int64(now)) }
 
-func (s *sight) configured(now time.Time) {
-	s.configuredAt.Store(now.UnixNano())
+func (s *sight) configured(now time.Duration) {
+	s.configuredAt.Store(int64(now))
 	s.configuration.Add(1)
 }
 
@@ -129,7 +129,7 @@
 
 // figures tells what the proxy has done and what it goes by.
 func (q *Proxy) figures(emit figures.Emit) {
-	now := time.Now()
+	now := q.now()
 	q.mu.Lock()
 	c, inHand, pools, listed, mixers, hosts := q.life.Counts, q.life.InHand(), len(q.pools), q.listed, q.mixers, len(q.hosts)
 	open, idle := 0, 0
@@ -175,9 +175,9 @@
 }
 
 // age is how many seconds ago something was, -1 if it never was.
-func age(now time.Time, unixNano int64) float64 {
-	if unixNano == 0 {
+func age(now time.Duration, at int64) float64 {
+	if at == 0 {
 		return -1
 	}
-	return now.Sub(time.Unix(0, unixNano)).Seconds()
+	return (now - time.Duration(at)).Seconds()
 }
