--- a/agent/figures.go
+++ b/agent/figures.go
@@ -7,7 +7,6 @@
 
 	"peathollow/distribution"
 	"peathollow/internal/figures"
-	"peathollow/registry"
 )
 
 // link is what the agent remembers of its link to a controller, for its figures.
@@ -45,22 +44,5 @@
 	emit("mixers_known", float64(t.board.Mixers()))
 	emit("controllers_known", float64(len(t.board.Core())))
 	emit("leaving", figures.Truth(t.leaving.Load()))
-	var listed, silent int
-	var complete bool
-	t.board.With(func(r *registry.Registry) bool {
-		complete = r.Complete()
-		for e := range r.All() {
-			if distribution.Reserved(e.Plant) {
-				continue
-			}
-			listed++
-			if e.Silent {
-				silent++
-			}
-		}
-		return false
-	})
-	emit("searchers_listed", float64(listed))
-	emit("searchers_silent", float64(silent))
-	emit("list_complete", figures.Truth(complete))
+	distribution.EmitList(t.board, emit)
 }
--- a/controlplane/sight.go
+++ b/controlplane/sight.go
@@ -10,7 +10,6 @@
 	"peathollow/distribution"
 	"peathollow/internal/figures"
 	"peathollow/internal/logbound"
-	"peathollow/registry"
 )
 
 // refusalLines is how many refused or unanswered calls a second get a line in the log; the rest are counted.
@@ -96,35 +95,10 @@
 	emit("controllers_pulling", float64(len(h.peers)))
 	emit("orders_in_hand", float64(len(h.orders)))
 	h.mu.Unlock()
-	h.figuresOfList(emit)
+	distribution.EmitList(h.board, emit)
 	h.sight.mu.Lock()
 	defer h.sight.mu.Unlock()
 	for a, n := range h.sight.calls {
 		emit("calls_total", float64(n), figures.Label{Name: "call", Value: a.call}, figures.Label{Name: "status", Value: strconv.Itoa(a.status)})
 	}
 }
-
-func (h *Controller) figuresOfList(emit figures.Emit) {
-	var listed, silent, draining int
-	var complete bool
-	h.board.With(func(r *registry.Registry) bool {
-		complete = r.Complete()
-		for e := range r.All() {
-			if distribution.Reserved(e.Plant) {
-				continue
-			}
-			listed++
-			if e.Silent {
-				silent++
-			}
-			if e.State == registry.Draining {
-				draining++
-			}
-		}
-		return false
-	})
-	emit("searchers_listed", float64(listed))
-	emit("searchers_silent", float64(silent))
-	emit("searchers_draining", float64(draining))
-	emit("list_complete", figures.Truth(complete))
-}
--- /dev/null
+++ b/distribution/figures.go
@@ -0,0 +1,32 @@
+package distribution
+
+import (
+	"peathollow/internal/figures"
+	"peathollow/registry"
+)
+
+// EmitList tells the figures of the list of searchers that a board holds.
+func EmitList(b *Board, emit figures.Emit) {
+	var listed, silent, draining int
+	var complete bool
+	b.With(func(r *registry.Registry) bool {
+		complete = r.Complete()
+		for e := range r.All() {
+			if Reserved(e.Plant) {
+				continue
+			}
+			listed++
+			if e.Silent {
+				silent++
+			}
+			if e.State == registry.Draining {
+				draining++
+			}
+		}
+		return false
+	})
+	emit("searchers_listed", float64(listed))
+	emit("searchers_silent", float64(silent))
+	emit("searchers_draining", float64(draining))
+	emit("list_complete", figures.Truth(complete))
+}
--- a/internal/standin/berths/clients.go
+++ b/internal/standin/berths/clients.go
@@ -51,18 +51,33 @@
 
 // Run sends so many requests a second till ctx ends, and waits for those under way.
 func (l *Load) Run(ctx context.Context, rate int) {
-	tick := time.NewTicker(time.Second / time.Duration(rate))
-	defer tick.Stop()
 	defer l.http.CloseIdleConnections()
+	Send(ctx, rate, l.one)
+}
+
+// Send calls one so many times a second, each in a goroutine of its own, till ctx ends, and waits for those under way.
+func Send(ctx context.Context, rate int, one func(n int)) {
 	var all sync.WaitGroup
 	defer all.Wait()
-	for n := 0; ; n++ {
+	n := 0
+	Each(ctx, time.Second/time.Duration(rate), func() {
+		number := n
+		n++
+		all.Go(func() { one(number) })
+	})
+}
+
+// Each calls do after each span till ctx ends.
+func Each(ctx context.Context, span time.Duration, do func()) {
+	tick := time.NewTicker(span)
+	defer tick.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			do()
 		}
-		all.Go(func() { l.one(n) })
 	}
 }
 
--- a/internal/standin/berths/system.go
+++ b/internal/standin/berths/system.go
@@ -372,7 +372,13 @@
 
 // status asks for a page of the system's host; 0 if there is no answer.
 func status(ctx context.Context, url, attempt string) int {
-	ctx, stop := context.WithTimeout(ctx, time.Second)
+	return Status(ctx, http.DefaultClient, url, attempt)
+}
+
+// Status does so with a client of the caller's. Without an attempt the page is none of the system's host.
+func Status(ctx context.Context, by *http.Client, url, attempt string) int {
+	const within = time.Second
+	ctx, stop := context.WithTimeout(ctx, within)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -381,9 +387,9 @@
 	if attempt != "" {
 		req.Host = host
 		req.Header.Set("Attempt-Id", attempt)
-		req.Header.Set("Deadline-Ms", "1000")
+		req.Header.Set("Deadline-Ms", strconv.FormatInt(within.Milliseconds(), 10))
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := by.Do(req)
 	if err != nil {
 		return 0
 	}
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -63,19 +63,8 @@
 
 // send sends so many requests a second till ctx ends, and waits for those under way.
 func (l *load) send(ctx context.Context, rate int) {
-	tick := time.NewTicker(time.Second / time.Duration(rate))
-	defer tick.Stop()
 	defer l.http.CloseIdleConnections()
-	var all sync.WaitGroup
-	defer all.Wait()
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		all.Go(func() { l.one(n) })
-	}
+	berths.Send(ctx, rate, l.one)
 }
 
 // one sends a request, again where the protocol lets a client, until it has a right answer or no time.
--- a/lab/soak/fronts.go
+++ b/lab/soak/fronts.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"peathollow/internal/standin/berths"
 )
 
 // front is a front machine as clients and the platform see it.
@@ -27,7 +29,7 @@
 	defer t.Stop()
 	misses := 0
 	for {
-		if r.get(ctx, "http://"+r.system.Ready[i]+"/ready", "") == http.StatusOK {
+		if berths.Status(ctx, r.probes, "http://"+r.system.Ready[i]+"/ready", "") == http.StatusOK {
 			misses = 0
 			r.fronts[i].in.Store(true)
 		} else if misses++; misses >= missesMost {
@@ -43,58 +45,37 @@
 
 // probe asks a front for the routes that versions add: within one life of its proxy none that was there goes away.
 func (r *run) probe(ctx context.Context, i int) {
-	t := time.NewTicker(probeEvery)
-	defer t.Stop()
-	f := &r.fronts[i]
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		life := int64(r.process(r.proxyName(i)).Lives())
-		if f.life.Swap(life) != life {
-			f.shown.Store(0)
-		}
-		shown, newest := f.shown.Load(), r.operators.newest()
-		version := newest
-		if shown > 0 && n%2 == 0 {
-			version = shown
-		}
-		if version == 0 {
-			continue
-		}
-		id := r.probeID()
-		status := r.get(ctx, "http://"+r.system.Fronts[i]+versionPath(version)+"x", id)
-		if int64(r.process(r.proxyName(i)).Lives()) != life {
-			continue
-		}
-		switch {
-		case status == http.StatusNotFound && version <= shown:
-			r.violated("went back: front %d no longer has the route of version %d (%s)", i, version, id)
-		case status == http.StatusOK && version > shown: // a 503 may say that no configuration is known
-			f.shown.Store(version)
-		}
-	}
+	n := 0
+	berths.Each(ctx, probeEvery, func() {
+		r.probeOnce(ctx, i, n)
+		n++
+	})
 }
 
-// get asks for a page; 0 if there is no answer.
-func (r *run) get(ctx context.Context, url, attempt string) int {
-	ctx, stop := context.WithTimeout(ctx, probeWithin)
-	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0
+// probeOnce asks for the newest version's route, and each second time for one that was there.
+func (r *run) probeOnce(ctx context.Context, i, n int) {
+	f := &r.fronts[i]
+	life := int64(r.process(r.proxyName(i)).Lives())
+	if f.life.Swap(life) != life {
+		f.shown.Store(0)
+	}
+	shown, newest := f.shown.Load(), r.operators.newest()
+	version := newest
+	if shown > 0 && n%2 == 0 {
+		version = shown
+	}
+	if version == 0 {
+		return
 	}
-	if attempt != "" {
-		req.Host = host
-		req.Header.Set("Attempt-Id", attempt)
-		req.Header.Set("Deadline-Ms", "900")
+	id := r.probeID()
+	status := berths.Status(ctx, r.probes, "http://"+r.system.Fronts[i]+versionPath(version)+"x", id)
+	if int64(r.process(r.proxyName(i)).Lives()) != life {
+		return
 	}
-	res, err := r.probes.Do(req)
-	if err != nil {
-		return 0
+	switch {
+	case status == http.StatusNotFound && version <= shown:
+		r.violated("went back: front %d no longer has the route of version %d (%s)", i, version, id)
+	case status == http.StatusOK && version > shown: // a 503 may say that no configuration is known
+		f.shown.Store(version)
 	}
-	res.Body.Close()
-	return res.StatusCode
 }
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"peathollow/internal/standin/berths"
 )
 
 // order is a configuration that an operator sent.
@@ -169,19 +171,12 @@
 
 // work changes the configuration now and then, and sends orders again that were acknowledged, till ctx ends.
 func (o *operators) work(ctx context.Context) {
-	t := time.NewTicker(changeEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	berths.Each(ctx, changeEvery, func() {
 		o.change(ctx)
 		if d := o.again(); d != nil && ctx.Err() == nil {
 			o.put(ctx, d)
 		}
-	}
+	})
 }
 
 // again picks an order that was acknowledged and with no other change since.
@@ -197,16 +192,7 @@
 // read reads back what is in force, till ctx ends: never an older version than was acknowledged when the question was
 // sent, and what was sent under its number.
 func (o *operators) read(ctx context.Context) {
-	t := time.NewTicker(readEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		o.readOnce(ctx)
-	}
+	berths.Each(ctx, readEvery, func() { o.readOnce(ctx) })
 }
 
 // readOnce tells whether a configuration was read.
