An agent asks no controller whether its proxy's slack is spent

Found on the last read: an agent that knew it to be spent said so in its asks, controllers know nothing of it, so each of its asks differed and was answered at once: a loop of asks for up to a window. TestProxyLivesShareOneBudget looks at the asks; it failed before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -276,4 +276,11 @@
 		s.eventually(holds(again, 1))
 		must.True(t, again.SlackSpent(), must.Sprint(life))
 	}
+	// It is the proxy's to know: a controller that were asked about it would answer at once, again and again.
+	for len(h.asked) > 0 {
+		<-h.asked
+	}
+	for range 3 {
+		must.False(t, h.next(t).SlackSpent)
+	}
 }
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -317,7 +317,8 @@
 	}
 	p.Board.mu.Lock()
 	defer p.Board.mu.Unlock()
-	a.Want, a.Core, a.Mixers, a.SlackSpent = p.Board.registry.Want(by), p.Board.coreSum, p.Board.mixers, p.Board.slackSpent
+	a.Want, a.Core, a.Mixers = p.Board.registry.Want(by), p.Board.coreSum, p.Board.mixers
+	a.SlackSpent = p.Kind == "proxy" && p.Board.slackSpent
 	if p.Board.doc != nil {
 		a.Version = p.Board.doc.Version
 	}
