--- a/cmd/peathollow/system.go
+++ b/cmd/peathollow/system.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
@@ -17,6 +18,7 @@
 	"peathollow/internal/figures"
 	_ "peathollow/internal/hangup" // a SIGHUP during the start ends no role
 	"peathollow/internal/invariant"
+	"peathollow/internal/logbound"
 	"peathollow/internal/settings"
 	"peathollow/proxy"
 )
@@ -55,6 +57,9 @@
 	}
 }
 
+// violationLines is how many violations of invariants a second get a line in the log; all are counted.
+const violationLines = 10
+
 func runProcess(ctx context.Context, name, metrics string, build func(*settings.Settings, string, *log.Logger) (process, error)) error {
 	signal.Ignore(syscall.SIGPIPE)
 	again := notify(syscall.SIGHUP)
@@ -69,8 +74,11 @@
 	}
 	tuneMemory(s, name)
 	l := newLog(os.Getenv("PEATHOLLOW_LOG"))
+	lines := &logbound.Limiter{PerSecond: violationLines}
 	invariant.OnViolation(func(name invariant.Name, saw string) {
-		l.Error().Str("event", "invariant").Str("name", string(name)).Str("saw", saw).Msg("")
+		if ok, suppressed := lines.Allow(time.Now()); ok {
+			l.Error().Str("event", "invariant").Str("name", string(name)).Str("saw", saw).Int("not-logged", suppressed).Msg("")
+		}
 	})
 	var nonce [4]byte
 	rand.Read(nonce[:])
--- /dev/null
+++ b/internal/logbound/logbound_test.go
@@ -0,0 +1,23 @@
+package logbound
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestLimiter: the first lines of each second go through, and the next one that does tells of those that did not.
+func TestLimiter(t *testing.T) {
+	l := Limiter{PerSecond: 2}
+	now := time.Now()
+	for i, want := range []bool{true, true, false, false} {
+		ok, _ := l.Allow(now.Add(time.Duration(i) * time.Millisecond))
+		must.Eq(t, want, ok)
+	}
+	ok, suppressed := l.Allow(now.Add(time.Second))
+	must.True(t, ok)
+	must.Eq(t, 2, suppressed)
+	_, suppressed = l.Allow(now.Add(time.Second))
+	must.Eq(t, 0, suppressed)
+}
--- a/request/contain.go
+++ b/request/contain.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"peathollow/brain"
 )
 
 // Contain ends what a fault has struck, after a panic out of this life: the requests on the set of services whose module was
@@ -40,10 +42,13 @@
 			continue
 		}
 		for _, d := range p.tries {
-			if d.out && d.Call != nil {
+			if !d.out {
+				continue
+			}
+			d.out, d.outcome, d.took = false, brain.Undone, l.now-d.at
+			if d.Call != nil {
 				acts = append(acts, Act{Dispatch: d, Cancel: true})
 			}
-			d.out = false
 		}
 		delete(l.parts, id)
 	}
