--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -21,6 +21,7 @@
 	"peathollow/failuredetector"
 	"peathollow/internal/figures"
 	"peathollow/internal/keepalive"
+	"peathollow/internal/logbound"
 	"peathollow/internal/settings"
 	"peathollow/internal/storage"
 	"peathollow/manifest"
@@ -119,7 +120,8 @@
 	now := time.Now()
 	h := &Controller{set: s, log: l, life: life, fronts: map[string]*front{}, peers: map[string]peer{},
 		pulls: map[string]pull{}, answered: map[string]time.Time{}, kept: map[string]registry.Vector{}, told: make(chan struct{}), orders: make(chan struct{}, ordersMost),
-		network: on.Network, plant: on.Plant}
+		network: on.Network, plant: on.Plant,
+		sight: sight{lines: logbound.Limiter{PerSecond: refusalLines}, calls: map[answered]uint64{}}}
 	h.judge = failuredetector.NewJudge(failuredetector.JudgeConfig{Period: s.BeatPeriod})
 	h.board = distribution.NewBoard(registry.New(registry.Config{Name: life, Period: s.BeatPeriod, Start: now}))
 	h.board.SetAlone(true) // until a majority is met
--- a/controlplane/sight.go
+++ b/controlplane/sight.go
@@ -42,11 +42,7 @@
 func (h *Controller) called(pattern string, r *http.Request, answer reply, took time.Duration) {
 	s := &h.sight
 	s.mu.Lock()
-	if s.calls == nil {
-		s.calls = map[answered]uint64{}
-	}
 	s.calls[answered{pattern, answer.status}]++
-	s.lines.PerSecond = refusalLines
 	s.mu.Unlock()
 	if answer.status < http.StatusBadRequest && took < slowCall {
 		return
