--- a/lab/soak/network.go
+++ b/lab/soak/network.go
@@ -44,10 +44,9 @@
 
 // pair is one connection through the relay.
 type pair struct {
-	near, far         net.Conn
-	caller, callee    string
-	once              sync.Once
-	closedByCondition bool
+	near, far      net.Conn
+	caller, callee string
+	once           sync.Once
 }
 
 func newNetwork() *network {
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -29,7 +29,6 @@
 	place *place
 	door  net.Listener // nobody listens at the place once the searcher has ended
 	acked atomic.Int64 // when it was acknowledged that it leaves, in Unix nanoseconds
-	ended atomic.Int64 // when it ended, by plan or not
 }
 
 // place is an address at which searchers live one after the other.
@@ -118,7 +117,6 @@
 
 // end ends a searcher like a crash.
 func (s *searcher) end() {
-	s.ended.Store(time.Now().UnixNano())
 	s.door.Close()
 	s.Close()
 }
