TestFeeds: the seed is in touch before the agent's next life asks it

Cause, in the test: the agent's life began while the seed was still out of touch. When its first ask came before the next line of the test, it went on to the other stand-ins, which lack i3 and, unlike controllers, share nothing; it stayed there for good. The second half had the like: after 3 s the agent goes on to a controller of the core, so version 5 is put there as well.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -200,11 +200,12 @@
 
 	s.stop() // the agent's next life knows nothing but the seed, which is behind
 	s.ended()
-	s.start("agent-2")
-	seed.SetAlone(false)
+	seed.SetAlone(false) // before it is asked: an agent that finds it alone goes on to the others, which lack i3
 	seed.beat("i3")
+	s.start("agent-2")
 	s.eventually(holds(s.proxy, 4, "i3"))
 	seed.Put(s.config(5))
+	mid.Put(s.config(5)) // controllers share it, and the agent prefers those of the core after a while
 	s.eventually(holds(s.proxy, 5))
 	s.eventually(holds(s.newProxySide(), 5, "i3")) // and so does a proxy's
 }
