--- a/cmd/peathollow/soak.go
+++ b/cmd/peathollow/soak.go
@@ -69,9 +69,9 @@
 }
 
 func printSoak(out io.Writer, r *soak.Result) {
-	fmt.Fprintf(out, "seed %d: %d controllers, %d fronts, %d troubles; %d requests, %d right (%d without all parts), %d with no right answer in time; "+
+	fmt.Fprintf(out, "seed %d: %d controllers, %d fronts, %d troubles; %d requests, %d right (%d without all parts), %d left by their clients, %d with no right answer in time; "+
 		"%d of %d failed tries in a log; %d of %d configurations acknowledged; %d requests in the calm; %d violations; %s\n",
-		r.Seed, r.Shape.Controllers, r.Shape.Fronts, r.Troubles, r.Requests, r.Right, r.Partial, r.Unanswered, r.Explained, r.Failures,
+		r.Seed, r.Shape.Controllers, r.Shape.Fronts, r.Troubles, r.Requests, r.Right, r.Partial, r.Left, r.Unanswered, r.Explained, r.Failures,
 		r.Acked, r.Orders, r.Calm, len(r.Violations), r.Dir)
 	for _, v := range r.Violations {
 		fmt.Fprintln(out, "  "+v)
--- a/internal/standin/rude/ledger.go
+++ b/internal/standin/rude/ledger.go
@@ -14,7 +14,9 @@
 	Target                 string // the searcher that was meant, if the request names one
 	Conn                   int    // which of the searcher's connections
 	Ran                    bool
-	Dropped                bool // it ran until its connection closed
+	Dropped                bool      // it ran until its connection closed
+	Ended                  time.Time // when the work on it did; zero: it has not run, or not ended
+	DeadlineMs             int64     // as it was told; -1: not at all
 }
 
 // Ledger keeps all entries, in order; several searchers may share one.
--- a/internal/standin/rude/work.go
+++ b/internal/standin/rude/work.go
@@ -6,7 +6,8 @@
 
 // answer does with a request what the reply says, and tells whether the connection goes on.
 func (s *Server) answer(p *peer, c *Call, r *Reply) bool {
-	e := s.ledger.add(Entry{At: time.Now(), ID: c.AttemptID, Method: c.Method, Path: c.Path, Host: c.Host, Searcher: s.ID(), Target: c.Target, Conn: c.Conn})
+	e := s.ledger.add(Entry{At: time.Now(), ID: c.AttemptID, Method: c.Method, Path: c.Path, Host: c.Host, Searcher: s.ID(), Target: c.Target, Conn: c.Conn,
+		DeadlineMs: c.DeadlineMs})
 	probe := c.Path == s.opts.ProbePath
 	switch {
 	case r.Way == ResetUnrun:
@@ -67,8 +68,8 @@
 	done, gone := s.work(r, watch, &closed, late)
 	<-s.slots
 	stop()
+	s.ledger.set(e, func(e *Entry) { e.Ended, e.Dropped = time.Now(), gone })
 	if gone {
-		s.ledger.set(e, func(e *Entry) { e.Dropped = true })
 		if r.OnDrop != nil {
 			r.OnDrop()
 		}
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -24,6 +24,12 @@
 	triesOf  = 5
 	pauseOf  = 30 * time.Millisecond // after a failure that names no time
 	bodyMost = 4 << 10
+
+	longEvery   = 15                     // one request in so many keeps its searchers at work for longWork
+	longWork    = 900 * time.Millisecond // so that stops, reloads and clients that leave meet work under way
+	leaveEvery  = 3                      // one client in so many of those leaves
+	leaveWithin = 400 * time.Millisecond // after so long at most
+	longMark    = "long-"                // in the path
 )
 
 // try is one request on the wire.
@@ -34,7 +40,12 @@
 	took           time.Duration
 	status         int // 0: no answer
 	fault          string
-	reused         bool
+	deadline       time.Duration // as the front was told
+	stays          time.Duration // then the client leaves; 0: it doesn't
+	left           time.Time     // when it did
+	unsent         bool          // the front never had it
+	gaveUp         bool          // the client's time was over
+	noReturn       bool          // a refusal that names no time to come back
 }
 
 // once tells whether the request may run only once.
@@ -47,6 +58,7 @@
 	tries  []*try
 	right  bool
 	whole  bool // no part was missing
+	left   bool // the client left
 }
 
 // load is the clients of a run.
@@ -78,10 +90,17 @@
 	defer stop()
 	for k := range triesOf {
 		t := &try{id: fmt.Sprintf("%s-%d-%d", kind, n, k), kind: kind, path: fmt.Sprintf("/%s/%d", kind, n%50), sent: time.Now()}
+		if n/3%longEvery == 0 {
+			t.path = fmt.Sprintf("/%s/%s%d", kind, longMark, n%50)
+			if n/3/longEvery%leaveEvery == 0 && !t.once() {
+				t.stays = 1 + rand.N(leaveWithin)
+			}
+		}
 		l.mu.Lock()
 		q.tries = append(q.tries, t)
 		l.mu.Unlock()
 		again, pause := l.try(ctx, q, t)
+		q.left = !t.left.IsZero()
 		if q.right || !again || ctx.Err() != nil {
 			return
 		}
@@ -121,20 +140,26 @@
 	until, _ := ctx.Deadline()
 	req.Host = host
 	req.Header.Set("Attempt-Id", t.id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(time.Until(until).Milliseconds(), 10))
-	res, err := l.http.Do(req)
+	t.deadline = time.Until(until)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(t.deadline.Milliseconds(), 10))
+	if t.stays > 0 {
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeout(ctx, t.stays)
+		defer leave()
+	}
+	res, err := l.http.Do(req.WithContext(ctx))
 	defer func() { t.took = time.Since(t.sent) }()
 	if err != nil {
 		t.fault = err.Error()
 		var dial *net.OpError
-		refused := errors.Is(err, keepalive.ErrRelayed) || errors.As(err, &dial) && dial.Op == "dial"
-		return !t.once() || refused, 0
+		t.unsent = errors.Is(err, keepalive.ErrRelayed) || errors.As(err, &dial) && dial.Op == "dial"
+		return l.broken(ctx, t)
 	}
 	defer res.Body.Close()
 	answer, err := io.ReadAll(res.Body)
 	if err != nil {
 		t.fault = "body: " + err.Error()
-		return !t.once(), 0
+		return l.broken(ctx, t)
 	}
 	if l.planted != nil {
 		answer = l.planted(res, answer)
@@ -142,7 +167,8 @@
 	t.status = res.StatusCode
 	if res.StatusCode/100 != 2 {
 		promise := promises(res.StatusCode)
-		wait, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		wait, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		t.noReturn = err != nil
 		return promise || !t.once(), time.Duration(min(wait, 1) * float64(time.Second))
 	}
 	if t.fault = l.judge(t, res.Header, answer, q); t.fault != "" {
@@ -153,6 +179,19 @@
 	return false, 0
 }
 
+// broken notes why a try has no whole answer, and tells whether another is allowed.
+func (l *load) broken(ctx context.Context, t *try) (again bool, pause time.Duration) {
+	switch {
+	case ctx.Err() == nil:
+		return !t.once() || t.unsent, 0
+	case t.stays > 0:
+		t.left = time.Now()
+	default:
+		t.gaveUp = true
+	}
+	return false, 0
+}
+
 // onceOnly is a body that can be read once.
 type onceOnly struct{ io.Reader }
 
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -59,6 +59,7 @@
 		}
 	}
 	r.judgeBudget(entries, services)
+	r.judgeEndings(entries)
 }
 
 // judgeArrival looks at one request that a searcher read.
@@ -136,12 +137,12 @@
 	return nil
 }
 
-// calmAt tells whether neither a front nor any controller was in trouble in a span.
-func (r *run) calmAt(machine string, from, to time.Time) bool {
+// calmAt tells whether neither a front nor any controller was in trouble in a span, but for trouble of some kinds.
+func (r *run) calmAt(machine string, from, to time.Time, except ...Kind) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.inflicted {
-		if t.from.Before(to) && (t.to.IsZero() || t.to.After(from)) && (t.strikes == nil || t.strikes(machine)) {
+		if !slices.Contains(except, t.kind) && t.from.Before(to) && (t.to.IsZero() || t.to.After(from)) && (t.strikes == nil || t.strikes(machine)) {
 			return false
 		}
 	}
@@ -151,7 +152,7 @@
 // judgeCalm: once everything is calm for long enough, each request is served and the newest configuration is in force.
 func (r *run) judgeCalm(from time.Time, result *Result) {
 	for _, q := range r.load.all() {
-		if q.began.Before(from) {
+		if q.began.Before(from) || q.left {
 			continue
 		}
 		result.Calm++
--- a/lab/soak/options.go
+++ b/lab/soak/options.go
@@ -48,6 +48,7 @@
 	Requests   int
 	Right      int
 	Partial    int
+	Left       int // requests whose client left
 	Unanswered int // requests that got no right answer within the client's time
 	Explained  int // of the tries that the fronts answered with a failure, how many are named in a log
 	Failures   int // such tries
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -231,6 +231,8 @@
 			fallthrough
 		case q.right:
 			result.Right++
+		case q.left:
+			result.Left++
 		default:
 			result.Unanswered++
 		}
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -32,6 +32,7 @@
 	CutOneWay       Kind = "cut-one-way"      // from one machine to another
 	Isolate         Kind = "isolate"          // a machine from all others of the system
 	IsolateOutside  Kind = "isolate-outside"  // a controller from searchers and operators
+	SplitCore       Kind = "split-core"       // the controllers into two halves; all others reach both
 	Slow            Kind = "slow"             // a machine's links
 	Reset           Kind = "reset"            // all connections of a machine
 	LoseAnswers     Kind = "lose-answers"     // of controllers to searchers and operators
@@ -52,7 +53,7 @@
 
 // Kinds are all there are.
 var Kinds = []Kind{KillProcess, KillMachine, KillCore, KillAll, KillRepeatedly, Freeze, FreezeMachine, Terminate, TerminateTwice, TerminateEarly,
-	Reload, ReloadEarly, ReloadTorn, Cut, CutOneWay, Isolate, IsolateOutside, Slow, Reset, LoseAnswers, WipeDisk, WipeAndKillAll, ReplaceCore,
+	Reload, ReloadEarly, ReloadTorn, Cut, CutOneWay, Isolate, IsolateOutside, SplitCore, Slow, Reset, LoseAnswers, WipeDisk, WipeAndKillAll, ReplaceCore,
 	SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, Race, Storm, Abuse}
 
 // Planned are those after which no request of a client may be lost.
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	place *place
 	door  net.Listener // nobody listens at the place once the searcher has ended
 	acked atomic.Int64 // when it was acknowledged that it leaves, in Unix nanoseconds
+	ill   atomic.Int64 // since when it may break off what it was given
 }
 
 // place is an address at which searchers live one after the other.
@@ -70,8 +72,13 @@
 
 func zoneName(i int) string { return []string{"zone-0", "zone-1", "zone-2"}[i] }
 
-// work takes a few milliseconds for each request.
-func work(rude.Call) rude.Reply { return rude.Reply{Work: time.Duration(rand.Int64N(int64(workMost)))} }
+// work takes a few milliseconds for most requests.
+func work(c rude.Call) rude.Reply {
+	if strings.Contains(c.Path, longMark) {
+		return rude.Reply{Work: longWork}
+	}
+	return rude.Reply{Work: rand.N(workMost)}
+}
 
 // idsOf gives the searchers that a service ever had.
 func (r *run) idsOf(service string) (ids []string) {
@@ -115,8 +122,18 @@
 	delete(r.struck, s)
 }
 
+// fallIll notes that from now on the searcher may break off what it was given.
+func (s *searcher) fallIll() { s.ill.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// soundAt tells whether it was sound until some moment.
+func (s *searcher) soundAt(at time.Time) bool {
+	since := s.ill.Load()
+	return since == 0 || at.Before(time.Unix(0, since))
+}
+
 // end ends a searcher like a crash.
 func (s *searcher) end() {
+	s.fallIll()
 	s.door.Close()
 	s.Close()
 }
@@ -137,6 +154,7 @@
 
 // mute has a searcher say nothing, then end.
 func (r *run) mute(s *searcher, span time.Duration) {
+	s.fallIll()
 	s.Mute()
 	r.pause(span)
 	r.crash(s, 0)
@@ -181,6 +199,7 @@
 	ways := []rude.Way{rude.Refuse, rude.RefuseNoID, rude.ResetUnrun, rude.ResetRun, rude.CloseRun, rude.CutHead, rude.CutBody, rude.Spoil,
 		rude.WrongID, rude.NoID, rude.NoSeal, rude.Trickle, rude.Chunked, rude.BadChunks, rude.BothLengths, rude.NoLength, rude.UntilClose,
 		rude.Surplus, rude.ExtraNow, rude.ExtraLate, rude.CloseAfter, rude.CloseUnsaid, rude.Hang}
+	s.fallIll()
 	some := []rude.Way{ways[choice%len(ways)], ways[choice/len(ways)%len(ways)], rude.Good}
 	s.SetScript(func(c rude.Call) rude.Reply {
 		reply := work(c)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,6 +112,50 @@
 			s.acked.Store(time.Now().Add(-2 * drainTime).UnixNano())
 			arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: get-1-0")
 		},
+		"lost": func(t *testing.T, r *run, s *searcher) {
+			r.load.requests = []*request{{tries: []*try{lostTry()}}}
+			arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: get-1-0")
+		},
+		"gone: 4 requests": func(t *testing.T, r *run, s *searcher) {
+			q := &request{}
+			r.load.requests = []*request{q}
+			for i := range fewMost + 1 {
+				id := fmt.Sprint("get-", i)
+				q.tries = append(q.tries, &try{id: id, kind: "get", path: "/get/1", left: time.Now().Add(-2 * leaveSlack)})
+				arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: "+id)
+			}
+		},
+		"gone: searchers worked on for 4 of 4": func(t *testing.T, r *run, s *searcher) {
+			s.SetScript(work)
+			q := &request{}
+			r.load.requests = []*request{q}
+			var all sync.WaitGroup
+			for i := range fewMost + 1 {
+				id, path := fmt.Sprint("get-", i), "/get/"+longMark
+				q.tries = append(q.tries, &try{id: id, kind: "get", path: path, left: time.Now().Add(-leaveSlack / 2)})
+				all.Go(func() { arrive(t, s, "GET "+path+" HTTP/1.1", "Attempt-Id: "+id) })
+			}
+			all.Wait()
+		},
+		"held": func(t *testing.T, r *run, s *searcher) {
+			q := &request{}
+			r.load.requests = []*request{q}
+			for range lateLeast {
+				q.tries = append(q.tries, &try{id: "get-1-0", kind: "get", path: "/get/1", sent: time.Now(), took: horizon + 2*horizonSlack, status: http.StatusGatewayTimeout})
+			}
+		},
+		"handed on late": func(t *testing.T, r *run, s *searcher) {
+			q := &request{}
+			r.load.requests = []*request{q}
+			for i := range handedMost + 1 {
+				id := fmt.Sprint("get-", i)
+				q.tries = append(q.tries, &try{id: id, kind: "get", path: "/get/1", sent: time.Now(), deadline: time.Second, status: http.StatusOK})
+				arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: "+id, "Deadline-Ms: 2000")
+			}
+		},
+		"no time to come back": func(t *testing.T, r *run, s *searcher) {
+			r.load.requests = []*request{{tries: []*try{{id: "get-1-0", kind: "get", path: "/get/1", status: http.StatusServiceUnavailable, noReturn: true}}}}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -124,6 +170,67 @@
 	}
 }
 
+// lostTry is a try that a front took and ended without an answer.
+func lostTry() *try {
+	return &try{id: "get-1-0", kind: "get", path: "/get/1", sent: time.Now().Add(-time.Second), took: 2 * time.Second, fault: "EOF"}
+}
+
+// TestLostBesideTrouble: planned work excuses nothing, a front in trouble and a searcher that broke off do.
+func TestLostBesideTrouble(t *testing.T) {
+	for name, excuse := range map[string]func(r *run, s *searcher) bool{
+		"planned work": func(r *run, s *searcher) bool {
+			r.inflicted = append(r.inflicted, &inflicted{kind: Terminate, strikes: r.only("front-0")})
+			return false
+		},
+		"another front": func(r *run, s *searcher) bool {
+			r.inflicted = append(r.inflicted, &inflicted{kind: Freeze, strikes: r.only("front-1")})
+			return false
+		},
+		"this front": func(r *run, s *searcher) bool {
+			r.inflicted = append(r.inflicted, &inflicted{kind: Freeze, strikes: r.only("front-0")})
+			return true
+		},
+		"its searcher": func(r *run, s *searcher) bool {
+			s.fallIll()
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, s := judged(t)
+			arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: get-1-0")
+			excused := excuse(r, s)
+			r.load.requests = []*request{{tries: []*try{lostTry()}}}
+			r.judgeLedger()
+			must.Eq(t, excused, len(r.violations) == 0, must.Sprint(r.violations))
+		})
+	}
+}
+
+// TestHalves: a line through the core leaves somebody on each side, and cuts nobody else off.
+func TestHalves(t *testing.T) {
+	for n := 3; n <= 5; n++ {
+		r := &run{}
+		for i := range n {
+			r.active = append(r.active, &berths.Process{Role: "controller", Machine: fmt.Sprint("core-", i)})
+		}
+		for choice := range 64 {
+			cut := r.halves(choice)
+			pairs := 0
+			for _, a := range r.active {
+				for _, b := range r.active {
+					must.Eq(t, cut(a.Machine, b.Machine), cut(b.Machine, a.Machine))
+					if cut(a.Machine, b.Machine) {
+						pairs++
+					}
+				}
+				must.False(t, cut(a.Machine, "front-0"))
+				must.False(t, cut(outside, a.Machine))
+			}
+			must.GreaterEq(t, 2*(n-1), pairs)
+		}
+	}
+}
+
 // TestOldConfigurationsAreSeen: what is read back is held against what was sent and acknowledged.
 func TestOldConfigurationsAreSeen(t *testing.T) {
 	o := &operators{}
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -17,7 +17,6 @@
 	graceTime      = 5 * time.Second        // from SIGTERM to SIGKILL
 	earlySignalAt  = 8 * time.Millisecond   // after a start
 	earlyLookEvery = 50 * time.Microsecond
-	slowness       = 120 * time.Millisecond
 	tornFor        = 300 * time.Millisecond
 	stormGap       = 50 * time.Millisecond
 	repeatMost     = 5
@@ -25,6 +24,7 @@
 
 // inflicted is a trouble as it was done: when, and to whom; to everybody if strikes is nil.
 type inflicted struct {
+	kind     Kind
 	from, to time.Time
 	strikes  func(machine string) bool
 }
@@ -33,7 +33,7 @@
 func (r *run) inflict(t Trouble) {
 	who := r.strikes(t)
 	r.mu.Lock()
-	in := &inflicted{from: time.Now(), strikes: who}
+	in := &inflicted{kind: t.Kind, from: time.Now(), strikes: who}
 	r.inflicted = append(r.inflicted, in)
 	r.mu.Unlock()
 	r.note("begin %v", t)
@@ -147,43 +147,6 @@
 	}
 }
 
-// doToLinks does what goes wrong between processes; false if the trouble is of another kind.
-func (r *run) doToLinks(t Trouble) bool {
-	one, two := r.machine(t.One), r.machine(t.Two)
-	c := condition{hold: true}
-	switch t.Kind {
-	case Cut:
-		c.applies = func(from, to string) bool { return from == one && to == two || from == two && to == one }
-	case CutOneWay:
-		c.applies = func(from, to string) bool { return from == one && to == two }
-	case Isolate:
-		c.applies = func(from, to string) bool {
-			return from != to && (from == one || to == one) && ofSystem(from) && ofSystem(to)
-		}
-	case IsolateOutside:
-		one = r.controller(t.One).Machine
-		c.applies = func(from, to string) bool { return from == outside && to == one || from == one && to == outside }
-	case Slow:
-		c.hold, c.delay = false, slowness
-		c.applies = func(from, to string) bool { return from != to && (from == one || to == one) }
-	case LoseAnswers:
-		c.hold, c.lose = false, true
-		c.applies = func(_, to string) bool { return to == outside }
-	case Reset:
-		r.network.reset(func(caller, callee string) bool { return caller == one || callee == one })
-		return true
-	default:
-		return false
-	}
-	r.network.impose(c, func() { r.pause(t.For) })
-	return true
-}
-
-// ofSystem tells machines of the system from searchers, clients and operators.
-func ofSystem(name string) bool {
-	return strings.HasPrefix(name, "core-") || strings.HasPrefix(name, "front-")
-}
-
 func (r *run) doToSearcher(t Trouble) {
 	s := r.takeOne(t.One)
 	if s == nil {
@@ -203,6 +166,7 @@
 	case SearcherRude:
 		r.misbehave(s, t.For, t.Chance)
 	case SearcherReset:
+		s.fallIll()
 		s.Break()
 		r.giveBack(s)
 	}
