--- /dev/null
+++ b/request/starved_test.go
@@ -0,0 +1,79 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"peathollow/brain"
+	"peathollow/manifest"
+	"peathollow/retrybudget"
+)
+
+// starved plays one request whose first part fails at once while the retry budget has no room, and others pass; it gives the
+// answer and when it came.
+func starved(t *testing.T, route *manifest.Route, out brain.Outcome) (final Final, at time.Duration) {
+	t.Helper()
+	l := New(Terms{Seed: 1, Budget: retrybudget.Terms{Window: 10 * time.Second}}, 0)
+	l.Mixers(1)
+	var hosts []Host
+	for _, s := range append([]string{"a"}, route.FanOut...) {
+		for _, id := range []string{"1", "2", "3"} {
+			hosts = append(hosts, Host{ID: s + id, Address: s + id, Service: s, State: brain.Ready})
+		}
+	}
+	l.List(hosts)
+	ended, now := false, time.Duration(0)
+	l.Begin(&Request{Route: route, Until: route.Horizon, Done: func(f Final) { final, at, ended = f, now, true }})
+	for !ended {
+		for _, a := range l.Take(nil) {
+			now += time.Millisecond
+			l.At(now)
+			if reply := (&Reply{Status: 200, Seal: a.Dispatch.Host.ID}); a.Dispatch.Host.Service == "a" {
+				l.Returned(a.Dispatch, out, nil)
+			} else if !a.Cancel {
+				l.Returned(a.Dispatch, brain.Pass, reply)
+			}
+		}
+		next, ok := l.Next()
+		must.True(t, ok || ended)
+		if !ended {
+			now = max(now, next)
+			l.At(now)
+		}
+	}
+	must.NoError(t, l.Check())
+	return final, at
+}
+
+// TestSpentBudgetIsNotWaitedFor: a request that can't go again for want of budget is answered while its client has time to
+// come back, or has the parts that are in; the code before held it to its end.
+func TestSpentBudgetIsNotWaitedFor(t *testing.T) {
+	single := manifest.Route{Plant: "a", Idempotent: true, Horizon: 4 * time.Second, Setpoint: 800 * ms, Retries: 3}
+	once := single
+	once.Idempotent = false
+	gathered := manifest.Route{FanOut: []string{"a", "b", "c"}, Idempotent: true, Horizon: 4 * time.Second, Setpoint: 800 * ms, Retries: 3, TopK: 4, MinCoverage: 0.6}
+	whole := gathered
+	whole.MinCoverage = 1
+	for name, c := range map[string]struct {
+		route *manifest.Route
+		out   brain.Outcome
+		kind  Kind
+	}{
+		"may be repeated":                 {&single, brain.Cut, Refused},
+		"may run once, and has not run":   {&once, brain.Stale, Refused},
+		"gathered, enough parts are in":   {&gathered, brain.Cut, Gathered},
+		"gathered, all parts are wanted":  {&whole, brain.Cut, Refused},
+		"gathered, refused by a searcher": {&gathered, brain.Stale, Gathered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			final, at := starved(t, c.route, c.out)
+			must.Eq(t, c.kind, final.Kind)
+			must.Less(t, c.route.Setpoint/4, at)
+			if c.kind == Refused {
+				must.Positive(t, final.In)
+			}
+		})
+	}
+}
