A request whose further try the spent retry budget keeps back is answered within a quarter of its aim

Root cause: a part that could not go again was given up for each reason but this one, since room might come; the window is 10 s and the aim under one, so that it hardly ever came in time, and its client neither had an answer nor could try elsewhere. Class: waiting, within a deadline, for what frees up on a longer scale. Mend: after 0.15 of the target a part with no room in the budget is lost like any other: a gathered answer goes out with what is in, else 503 with when to come back. Looked for elsewhere: a searcher that turned a part away for want of room is waited for by design (noRoom gives up then too); a part with nobody listed waits for the list. Only where a budget is asked (Settings.Spare): the mixer in service and the simulator's decide as before. The reason in the log is a new one, BudgetSpent.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,6 +47,7 @@
 	extraBrim    = 15.0
 	earnBack     = 0.8                    // of a copy's allowance is returned when it overtakes
 	askFirst     = 500 * time.Millisecond // till a failed list call is made again, at first
+	starveShare  = 0.15                   // of its target, after which a part waits no more for room in the budget
 	boxFirst     = 250 * time.Millisecond // how long a failing searcher is kept off, at first
 	boxMost      = 4 * time.Second        // and at most
 	fadeBad      = 10 * time.Second       // after so long without a failure those of a searcher count half
--- a/brain/send.go
+++ b/brain/send.go
@@ -158,12 +158,19 @@
 		return
 	}
 	_, ran := p.exposed()
-	if m.noRoom(p) || sc.kills || len(p.tries) >= m.cls[p.class].tries || ran && m.cls[p.class].effect == NonReplayable {
+	if m.noRoom(p) || sc.kills || len(p.tries) >= m.cls[p.class].tries || ran && m.cls[p.class].effect == NonReplayable || m.starved(p, sc) {
 		p.lost = true
 		sc.gone += p.weight
 	}
 }
 
+// starved tells that the budget has no room for a part that failed: told early, its client is back in time. Room comes
+// with other requests; a budget that is nearly spent could free some a moment later.
+func (m *Mixer) starved(p *part, sc *scan) bool {
+	waited := m.now - sc.at
+	return m.spare != nil && len(p.tries) > 0 && waited.Seconds() >= starveShare*m.cls[sc.class].target.Seconds() && !m.spare(p.shard)
+}
+
 // tend looks after a scan that waits: parts nobody took yet, and parts that are late.
 func (m *Mixer) tend(si int32) {
 	sc := &m.scans.at[si]
--- a/proxy/sight.go
+++ b/proxy/sight.go
@@ -30,7 +30,7 @@
 
 func newSight() *sight {
 	s := &sight{lines: &logbound.Limiter{PerSecond: failureLines}, failed: map[request.Reason]*atomic.Uint64{}}
-	for _, reason := range []request.Reason{request.NoSearcher, request.TurnedAway, request.NotAdmitted, request.TimeOver,
+	for _, reason := range []request.Reason{request.NoSearcher, request.TurnedAway, request.BudgetSpent, request.NotAdmitted, request.TimeOver,
 		request.MayHaveRun, request.NoTryLeft, request.ProcessFailed} {
 		s.failed[reason] = &atomic.Uint64{}
 	}
--- a/request/explain.go
+++ b/request/explain.go
@@ -47,6 +47,17 @@
 	return false
 }
 
+// starved tells whether a part of it may have gone again but for the retry budget.
+func (r *Request) starved() bool {
+	for _, p := range r.parts {
+		left := len(p.tries) < max(1, r.Route.Retries) && (r.Route.Idempotent || !p.mayHaveRun())
+		if p.reply == nil && len(p.tries) > 0 && left && !r.group.l.book.Room(r.group.l.now, p.service) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusal says why a request was refused.
 func (l *Life) refusal(r *Request) Reason {
 	tried := false
@@ -56,6 +67,8 @@
 	switch {
 	case r.unlisted():
 		return NoSearcher
+	case r.starved():
+		return BudgetSpent
 	case tried:
 		return TurnedAway
 	}
--- a/request/starved_test.go
+++ b/request/starved_test.go
@@ -73,6 +73,7 @@
 			must.Less(t, c.route.Setpoint/4, at)
 			if c.kind == Refused {
 				must.Positive(t, final.In)
+				must.Eq(t, BudgetSpent, final.Reason)
 			}
 		})
 	}
--- a/request/types.go
+++ b/request/types.go
@@ -56,6 +56,7 @@
 const (
 	NoSearcher    Reason = "no searcher of a service it needs is listed"
 	TurnedAway    Reason = "the searchers tried turned it away or could not be reached"
+	BudgetSpent   Reason = "a try failed, and the retry budget has no room for another"
 	NotAdmitted   Reason = "not admitted: its searchers answer too late or are full"
 	TimeOver      Reason = "its time was over"
 	MayHaveRun    Reason = "it may have run and cannot be sent again"
