A leaving proxy works on for seven eighths of its grace, whatever that is; the agent beside it a little longer

Root cause: 800 ms were kept back of any grace (700 ms at the agent), so that in a grace of 2 s a proxy ended 1.2 s after SIGTERM what its searchers would have answered by 1.3 s. Class: a constant where the settings name the bound. Mend: what is kept back is an eighth of the grace and 800 ms at most, in one place for both (settings/leave.go); a proxy takes requests for 3 s at most (3.5 s before): what is sent later has to be finished whole. A grace of 6 s: 5.25 s (5.2 before). Looked for elsewhere: a controller hands over within half of the grace at most already; contact's lease (3 s) and the silence of a link (1.7 s) fit bounds of 3 s and more, listed as open.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -68,7 +68,7 @@
 	t.log.Info().Str("event", "serving").Msg("")
 	<-ctx.Done()
 	t.leaving.Store(true)
-	time.Sleep(max(0, t.set.Grace-700*time.Millisecond))
+	time.Sleep(t.set.AgentEndsAfter())
 	return nil
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -117,10 +117,8 @@
 	q.leaving.Store(true)
 	began := time.Now()
 	q.log.Info().Str("event", "leaving").Int("in-hand", q.inHand()).Msg("")
-	last := q.set.Grace - 800*time.Millisecond
-	least := min(q.set.Grace/2, 3500*time.Millisecond)
-	time.Sleep(least)
-	ctx, stop := context.WithTimeout(context.Background(), max(time.Millisecond, last-time.Since(began)))
+	time.Sleep(q.set.ProxyListensFor())
+	ctx, stop := context.WithTimeout(context.Background(), max(time.Millisecond, q.set.ProxyEndsAfter()-time.Since(began)))
 	defer stop()
 	fs.Shutdown(ctx) // what is left after it is ended with the process
 	q.tally()
