Systems carry an identity: epochs, messages between controllers and news name it, and those of another system are dropped

Root cause: a number (epoch, ballot, version) was compared with whatever came in; that it came from this system was taken for granted from its address. Class: an order among values that only holds within one history. Mend of the design: the founders derive an id from their addresses, each epoch hands it on, each message and each answer to a pull names it; a disk without one (empty, or of before) takes that of the first epoch it learns, an agent that of the first controller in touch with its core. Dropped messages are counted (messages_of_other_systems_total) and logged once a second. Looked for elsewhere: pulls of news, lists and configurations between controllers, agents and proxies had the same cause, and now refuse the like; searchers' beats and operators' orders name no system by the protocol. Shown by planting: without the check TestAnotherSystemIsRefused fails, and taking the id from a server out of touch TestSystemIsTakenFromAServerInTouch. Race tests of consensus, distribution, agent, proxy, controlplane and its simulation: ok.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -57,6 +57,7 @@
 	local                []Message
 	out                  Actions
 	delivered            uint64
+	elsewhere            uint64 // messages from other systems
 
 	heard    time.Duration // a beat of the known epoch's primary
 	takeAt   time.Duration
@@ -98,7 +99,7 @@
 // founder that loses its disk comes back under a drawn id, so nobody can found twice.
 func found(seeds []string) Epoch {
 	addrs := slices.Compact(slices.Sorted(slices.Values(seeds)))
-	e := Epoch{N: 1}
+	e := Epoch{N: 1, System: systemOf(addrs)}
 	for _, a := range addrs {
 		e.Members = append(e.Members, Member{ID: founder(a), Addr: a, Counts: true})
 	}
@@ -195,6 +196,10 @@
 	if n.bad != nil {
 		return
 	}
+	if n.fromElsewhere(&m) {
+		n.elsewhere++
+		return
+	}
 	switch m.Kind {
 	case Prepare, Accept:
 		n.witness(m)
@@ -218,7 +223,7 @@
 }
 
 func (n *Node) send(to Member, m Message) {
-	m.From, m.FromAddr, m.To, m.ToAddr = n.id, n.c.Addr, to.ID, to.Addr
+	m.System, m.From, m.FromAddr, m.To, m.ToAddr = n.known.System, n.id, n.c.Addr, to.ID, to.Addr
 	if to.ID == n.id {
 		n.local = append(n.local, m)
 		return
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -43,6 +43,7 @@
 // Epoch is the value that the witnesses keep. Prev differs from Members while a change of members is under way: then
 // majorities of both are needed.
 type Epoch struct {
+	System  SystemID
 	N       uint64
 	Primary ID
 	InSync  []ID
@@ -65,7 +66,7 @@
 func (e *Epoch) joint() bool { return !slices.Equal(idsOf(e.Members), idsOf(e.Prev)) }
 
 func (e *Epoch) equal(o *Epoch) bool {
-	return e.N == o.N && e.Primary == o.Primary && slices.Equal(e.InSync, o.InSync) &&
+	return e.System == o.System && e.N == o.N && e.Primary == o.Primary && slices.Equal(e.InSync, o.InSync) &&
 		slices.Equal(e.Members, o.Members) && slices.Equal(e.Prev, o.Prev)
 }
 
@@ -162,7 +163,8 @@
 // Message is what nodes say to each other. It may be lost, late, doubled or overtaken.
 type Message struct {
 	Kind             Kind
-	From, To         ID // an empty To is for whoever lives at the address
+	System           SystemID // of the sender
+	From, To         ID       // an empty To is for whoever lives at the address
 	FromAddr, ToAddr string
 	N                uint64 // the epoch this is about
 	Ballot, Promised Ballot
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -121,7 +121,7 @@
 	h := &Controller{set: s, log: l, life: life, fronts: map[string]*front{}, peers: map[string]peer{},
 		pulls: map[string]pull{}, answered: map[string]time.Time{}, kept: map[string]registry.Vector{}, told: make(chan struct{}), orders: make(chan struct{}, ordersMost),
 		network: on.Network, plant: on.Plant,
-		sight: sight{lines: logbound.Limiter{PerSecond: refusalLines}, calls: map[answered]uint64{}}}
+		sight: sight{lines: logbound.Limiter{PerSecond: refusalLines}, strangers: logbound.Limiter{PerSecond: strangerLines}, calls: map[answered]uint64{}}}
 	h.judge = failuredetector.NewJudge(failuredetector.JudgeConfig{Period: s.BeatPeriod})
 	h.board = distribution.NewBoard(registry.New(registry.Config{Name: life, Period: s.BeatPeriod, Start: now}))
 	h.board.SetAlone(true) // until a majority is met
@@ -296,6 +296,7 @@
 			want[at] = true
 		}
 	}
+	h.board.SetSystem(uint64(e.System))
 	h.board.SetCore(core)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -81,6 +81,7 @@
 					c.log.Warn().Str("event", "note").Str("text", n).Msg("")
 				}
 			}
+			c.tellStrangers()
 		case <-leave:
 			leave = nil
 			c.node.Leave(c.now())
@@ -108,6 +109,17 @@
 	}
 }
 
+// tellStrangers logs that messages of other systems came, once for all since the last tick.
+func (c *core) tellStrangers() {
+	count := c.node.Elsewhere()
+	if c.sight.elsewhere.Swap(count) == count {
+		return
+	}
+	if ok, suppressed := c.sight.strangers.Allow(time.Now()); ok {
+		c.log.Warn().Str("event", "another-system").Uint64("messages", count).Int("not-logged", suppressed).Msg("")
+	}
+}
+
 // carry does what the node wants done.
 func (c *core) carry(waiting map[uint64]chan consensus.Answer) {
 	a := c.node.Take()
--- a/controlplane/sight.go
+++ b/controlplane/sight.go
@@ -15,6 +15,9 @@
 // refusalLines is how many refused or unanswered calls a second get a line in the log; the rest are counted.
 const refusalLines = 10
 
+// strangerLines is how many lines a second tell of messages from other systems.
+const strangerLines = 1
+
 // slowCall is from when on an answered call gets a line as well: its caller has probably turned elsewhere.
 const slowCall = time.Second
 
@@ -30,6 +33,8 @@
 	lastSync          atomic.Int64 // how long the last one took, in nanoseconds
 	epochs            atomic.Uint64
 	lapses            atomic.Uint64 // of contact
+	elsewhere         atomic.Uint64 // messages of other systems
+	strangers         logbound.Limiter
 }
 
 // answered is one kind of answer to one kind of call.
@@ -73,6 +78,7 @@
 	emit("epoch", float64(epoch.N))
 	emit("epoch_changes_total", float64(h.sight.epochs.Load()))
 	emit("members", float64(len(epoch.Members)))
+	emit("messages_of_other_systems_total", float64(h.sight.elsewhere.Load()))
 	emit("in_sync", float64(len(epoch.InSync)))
 	emit("is_primary", figures.Truth(primary != "" && primary == h.at(h.set.IP, portMail)))
 	emit("in_touch", figures.Truth(h.inTouch()))
--- a/distribution/board.go
+++ b/distribution/board.go
@@ -22,6 +22,7 @@
 // Board is what one process knows. Its methods may be called from any goroutine.
 type Board struct {
 	mu         sync.Mutex
+	system     uint64 // see SetSystem
 	registry   *registry.Registry
 	doc        *manifest.Manifest
 	packed     []byte // doc, when somebody has needed it whole
@@ -225,7 +226,7 @@
 	if b.alone && !a.Peer {
 		return b.cargoAlone(a)
 	}
-	c := Cargo{News: b.registry.Since(a.Want, entriesMost)}
+	c := Cargo{System: b.system, News: b.registry.Since(a.Want, entriesMost)}
 	some := !c.News.Empty()
 	if a.Mend != nil {
 		c.Mend, some = b.compare(a.Mend, time.Now()), true
@@ -269,7 +270,7 @@
 
 // cargoAlone answers an agent's ask out of contact; the lock is held.
 func (b *Board) cargoAlone(a *Ask) (Cargo, bool, <-chan struct{}) {
-	c := Cargo{Alone: true, News: registry.Delta{By: b.registry.Name()}}
+	c := Cargo{System: b.system, Alone: true, News: registry.Delta{By: b.registry.Name()}}
 	some := !a.Alone
 	if a.Core != b.coreSum {
 		c.Core, some = b.core, true
--- a/distribution/pull.go
+++ b/distribution/pull.go
@@ -65,6 +65,7 @@
 
 // Cargo is what the asker lacks.
 type Cargo struct {
+	System  uint64 // of the teller
 	News    registry.Delta
 	Version uint64
 	Whole   []byte          // a configuration, packed
@@ -255,6 +256,9 @@
 		if err := in.Decode(&cargo); err != nil {
 			return answered, errors.Wrapf(err, "pull, peer %s", addr)
 		}
+		if err := p.Board.admit(&cargo, p.Peer); err != nil {
+			return false, errors.Wrapf(err, "pull, peer %s", addr)
+		}
 		answered, by, alone = true, cargo.News.By, cargo.Alone
 		if len(p.lives) >= livesMost {
 			clear(p.lives)
