--- a/request/starved_test.go
+++ b/request/starved_test.go
@@ -47,6 +47,30 @@
 	return final, at
 }
 
+// TestGoneSearchersAreNotWaitedFor: a request whose last searcher turned out to be gone (421) is answered while its client has time
+// to come back; the code before held it to its end.
+func TestGoneSearchersAreNotWaitedFor(t *testing.T) {
+	route := &manifest.Route{Plant: "a", Horizon: 4 * time.Second, Setpoint: 800 * ms, Retries: 3}
+	l := New(Terms{Seed: 1, Budget: retrybudget.Terms{Window: 10 * time.Second, Slack: 100}}, 0)
+	l.Mixers(1)
+	l.List([]Host{{ID: "a1", Address: "a1", Service: "a", State: brain.Ready}})
+	var final *Final
+	now, at := time.Duration(0), time.Duration(0)
+	l.Begin(&Request{Route: route, Until: route.Horizon, Done: func(f Final) { final, at = &f, now }})
+	for final == nil {
+		for _, a := range l.Take(nil) {
+			l.Gone(a.Dispatch.Host.ID)
+			l.Returned(a.Dispatch, brain.NoRoute, nil)
+		}
+		now, _ = l.Next()
+		l.At(now)
+	}
+	must.Eq(t, Refused, final.Kind)
+	must.Eq(t, NoSearcher, final.Reason)
+	must.Positive(t, final.In)
+	must.Less(t, route.Setpoint/4, at)
+}
+
 // TestSpentBudgetIsNotWaitedFor: a request that can't go again for want of budget is answered while its client has time to
 // come back, or has the parts that are in; the code before held it to its end.
 func TestSpentBudgetIsNotWaitedFor(t *testing.T) {
