--- a/brain/send.go
+++ b/brain/send.go
@@ -164,11 +164,13 @@
 	}
 }
 
-// starved tells that the budget has no room for a part that failed: told early, its client is back in time. Room comes
-// with other requests; a budget that is nearly spent could free some a moment later.
+// starved tells that a part waits for what hardly comes in time: a searcher where the list names none, or, once it failed, room
+// in the budget. Told early, its client is back in time. Either could come a moment later.
 func (m *Mixer) starved(p *part, sc *scan) bool {
-	waited := m.now - sc.at
-	return m.spare != nil && len(p.tries) > 0 && waited.Seconds() >= starveShare*m.cls[sc.class].target.Seconds() && !m.spare(p.shard)
+	if m.spare == nil || (m.now-sc.at).Seconds() < starveShare*m.cls[sc.class].target.Seconds() {
+		return false
+	}
+	return m.orphan(p) || len(p.tries) > 0 && !m.spare(p.shard)
 }
 
 // tend looks after a scan that waits: parts nobody took yet, and parts that are late.
