dispatch_ends counts from when the process runs again; a request whose time is over is said to be that

Root cause: the invariant compared a deadline with the clock, and a process that was stopped for 6.7 s could end nothing meanwhile; whether the ends come in is known only after it has run. Mend: the book notes when it last went on after a second without any event. The reason of a request that ends for its time with tries still open was 'the searchers turned it away'. Looked for elsewhere: the module's own view of silent searchers has the same cause: TestFreezeIsNoSilence, committed failing with this.

--- a/request/explain.go
+++ b/request/explain.go
@@ -58,6 +58,9 @@
 	return false
 }
 
+// isOver tells whether the time of a request is over, or so nearly that it ends for that.
+func (l *Life) isOver(r *Request) bool { return l.now >= r.Until-4*granularity }
+
 // refusal says why a request was refused.
 func (l *Life) refusal(r *Request) Reason {
 	tried := false
@@ -67,6 +70,8 @@
 	switch {
 	case r.unlisted():
 		return NoSearcher
+	case tried && l.isOver(r):
+		return TimeOver
 	case r.starved():
 		return BudgetSpent
 	case tried:
--- a/request/freeze_test.go
+++ b/request/freeze_test.go
@@ -43,3 +43,37 @@
 	}
 	must.True(t, late())
 }
+
+// TestFreezeIsNoSilence: what came while the process did not run is looked at before anybody is held to be silent: no further try
+// goes out for an answer that is there already.
+func TestFreezeIsNoSilence(t *testing.T) {
+	l := New(Terms{Budget: retrybudget.Terms{Window: 10 * time.Second, Slack: 1000, Ratio: 1}}, 0)
+	l.Mixers(1)
+	l.List([]Host{{ID: "i1", Address: "a", Service: "s", State: brain.Ready}, {ID: "i2", Address: "b", Service: "s", State: brain.Ready}})
+	route := &manifest.Route{Plant: "s", Idempotent: true, Horizon: 8 * time.Second, Setpoint: time.Second, Retries: 3}
+	now := time.Duration(0)
+	begin := func() (d *Dispatch, final *Final) {
+		final = &Final{Kind: Failed}
+		l.Begin(&Request{Route: route, Until: now + route.Horizon, Done: func(f Final) { *final = f }})
+		out := l.Take(nil)
+		must.Len(t, 1, out)
+		return out[0].Dispatch, final
+	}
+	answer := func(d *Dispatch) { l.Returned(d, brain.Pass, &Reply{Status: 200, Seal: d.Host.ID}) }
+	for range 50 { // it knows the pace of both
+		d, _ := begin()
+		now += 10 * ms
+		l.At(now)
+		answer(d)
+	}
+	d, final := begin()
+	now += 5 * time.Second
+	l.At(now) // the timer may come first
+	must.SliceEmpty(t, l.Take(nil), must.Sprint("a further try"))
+	next, ok := l.Next()
+	must.True(t, ok)
+	must.Greater(t, now, next)
+	answer(d)
+	must.Eq(t, Relayed, final.Kind)
+	must.SliceEmpty(t, l.Take(nil))
+}
--- a/request/group.go
+++ b/request/group.go
@@ -206,7 +206,7 @@
 		p.g.l.finish(r, Final{Kind: Relayed, Reply: r.refuse})
 		return
 	}
-	p.g.l.finish(r, Final{Kind: Failed, Late: p.g.l.now >= r.Until-4*granularity})
+	p.g.l.finish(r, Final{Kind: Failed, Late: p.g.l.isOver(r)})
 }
 
 // take finds a request that the module has ended.
--- a/request/invariants.go
+++ b/request/invariants.go
@@ -34,7 +34,8 @@
 	invariant.Check(invariant.InHandBalance, c.Taken-ended == len(l.reqs), "%d taken, %d ended, %d in hand", c.Taken, ended, len(l.reqs))
 	for _, p := range l.parts {
 		for _, d := range p.tries {
-			if d.out && l.now > d.Until+overdueAfter {
+			due := max(d.Until, l.ranOn) // a process that did not run could end nothing
+			if d.out && l.now > due+overdueAfter {
 				invariant.Violated(invariant.DispatchEnds, "searcher %s: out %v after its deadline", d.Host.ID, l.now-d.Until)
 			}
 		}
--- a/request/life.go
+++ b/request/life.go
@@ -19,6 +19,10 @@
 	Plant func(step Step, services []string)
 }
 
+// pauseLeast is a time without any event in which something was in hand, from which on the process is held not to have run: the
+// module asks to be woken much sooner.
+const pauseLeast = time.Second
+
 // Life holds all that is in hand. It is not safe for concurrent use.
 type Life struct {
 	terms  Terms
@@ -31,8 +35,9 @@
 	reqs   map[uint64]*Request
 	ids    uint64
 	timers timers
-	over   bool   // after Abandon
-	inside *group // whose module is deciding
+	ranOn  time.Duration // when the process last went on after it had not run for a while
+	over   bool          // after Abandon
+	inside *group        // whose module is deciding
 	acts   []Act
 	Counts Counts
 }
@@ -54,6 +59,9 @@
 
 // At sets the clock and does what is due. It never goes back.
 func (l *Life) At(now time.Duration) {
+	if now-l.now > pauseLeast {
+		l.ranOn = now
+	}
 	l.now = max(l.now, now)
 	for {
 		t, ok := l.timers.pop(l.now)
