A proxy that was stopped reads what came in meanwhile before it takes any searcher to be silent or slow

After a pause of over a second timers wait 20 ms, so that answers that are there are handed over first, and the time for which the process did not run is not counted as its searchers'. TestFreezeIsNoSilence: a further try went out for an answer that was there.

--- a/request/freeze_test.go
+++ b/request/freeze_test.go
@@ -26,6 +26,7 @@
 	const frozen = 7 * time.Second
 	l.At(frozen)
 	l.CheckBalance()
+	l.At(frozen + catchUp)
 	must.Eq(t, Refused, final.Kind)
 	must.Eq(t, TimeOver, final.Reason) // what is out has turned nothing away
 	must.True(t, final.Tries[0].Out)
@@ -76,4 +77,5 @@
 	answer(d)
 	must.Eq(t, Relayed, final.Kind)
 	must.SliceEmpty(t, l.Take(nil))
+	must.Less(t, time.Second, d.took) // nor is the searcher held to be slow
 }
--- a/request/life.go
+++ b/request/life.go
@@ -23,6 +23,9 @@
 // module asks to be woken much sooner.
 const pauseLeast = time.Second
 
+// catchUp is how long the process may take, after a pause, to read what came in meanwhile.
+const catchUp = 20 * time.Millisecond
+
 // Life holds all that is in hand. It is not safe for concurrent use.
 type Life struct {
 	terms  Terms
@@ -36,6 +39,7 @@
 	ids    uint64
 	timers timers
 	ranOn  time.Duration // when the process last went on after it had not run for a while
+	paused time.Duration // for how long it has not run, in all
 	over   bool          // after Abandon
 	inside *group        // whose module is deciding
 	acts   []Act
@@ -57,12 +61,17 @@
 // Mixers tells how many mixers run; see retrybudget.Book.
 func (l *Life) Mixers(n int) { l.book.Mixers(n) }
 
-// At sets the clock and does what is due. It never goes back.
+// At sets the clock and does what is due. It never goes back. After a pause of the process what is due waits a moment more: what
+// came in meanwhile is to be handed over first.
 func (l *Life) At(now time.Duration) {
 	if now-l.now > pauseLeast {
 		l.ranOn = now
+		l.paused += now - l.now
 	}
 	l.now = max(l.now, now)
+	if l.now < l.timersFrom() {
+		return
+	}
 	for {
 		t, ok := l.timers.pop(l.now)
 		if !ok {
@@ -75,7 +84,18 @@
 }
 
 // Next is when something is due; false when nothing is.
-func (l *Life) Next() (time.Duration, bool) { return l.timers.next() }
+func (l *Life) Next() (time.Duration, bool) {
+	at, ok := l.timers.next()
+	return max(at, l.timersFrom()), ok
+}
+
+// timersFrom is from when on timers are looked at; 0 if the process never paused.
+func (l *Life) timersFrom() time.Duration {
+	if l.ranOn == 0 {
+		return 0
+	}
+	return l.ranOn + catchUp
+}
 
 // Take drains what is to be done.
 func (l *Life) Take(into []Act) []Act {
@@ -159,7 +179,7 @@
 	if !d.out || d.Request.group.l != l || l.over {
 		return
 	}
-	d.out, d.outcome, d.took = false, out, l.now-d.at
+	d.out, d.outcome, d.took = false, out, l.now-d.at-(l.paused-d.paused)
 	l.Counts.Outcomes[out]++
 	if r := d.Request; !r.ended && reply != nil {
 		switch {
@@ -169,7 +189,7 @@
 			r.refuse = reply
 		}
 	}
-	d.Request.group.returned(d, out, l.now-d.at)
+	d.Request.group.returned(d, out, d.took)
 	l.settle(d.part)
 }
 
--- a/request/types.go
+++ b/request/types.go
@@ -94,10 +94,11 @@
 	Until   time.Duration // by the request's clock
 	Call    any           // the caller's
 
-	part *part
-	no   int
-	at   time.Duration
-	out  bool
+	part   *part
+	no     int
+	at     time.Duration
+	paused time.Duration // for how long the process had not run by then, in all
+	out    bool
 	// Once it is not out any more: what became of it, and how long that took.
 	outcome brain.Outcome
 	took    time.Duration
