--- a/proxy/client_test.go
+++ b/proxy/client_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -211,3 +212,21 @@
 	must.Eq(t, n+3, len(r.Ledger.Entries()))
 	r.Judge()
 }
+
+// TestBodyThatDoesNotCome: a client that sends half of its body is told that its time is over, and that nothing has run, once it
+// is; the code before waited for as long as the connection stood.
+func TestBodyThatDoesNotCome(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief)
+	r.Searcher("s", rude.Options{})
+	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
+	c := r.Dial()
+	defer c.Close()
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: %s\r\nAttempt-Id: slow\r\nDeadline-Ms: 200\r\nContent-Length: 10\r\n\r\nhalf", rig.Host)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c.Conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusRequestTimeout, res.StatusCode)
+	must.True(t, res.Close)
+	must.Eq(t, 0, r.Ledger.Arrived("slow"))
+}
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -68,3 +69,26 @@
 		must.False(t, ask(c, in, 21*time.Second))
 	})
 }
+
+// A client that reads nothing of its answer for as long as a connection may rest is left; it held its connection, and what serves
+// it, for ever.
+func TestClientThatReadsNothingIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rest, size = 10 * time.Second, 100 << 10
+		ln := make(pipes)
+		s := &http.Server{ReadHeaderTimeout: headSign, IdleTimeout: restSign, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Write(make([]byte, size))
+		})}
+		go s.Serve(limitedListener{ln, func() (time.Duration, time.Duration) { return time.Second, rest }})
+		defer s.Close()
+		for _, pause := range []time.Duration{rest - time.Second, rest + time.Second} {
+			near, far := net.Pipe()
+			ln <- far
+			near.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+			time.Sleep(pause)
+			n, err := io.Copy(io.Discard, near)
+			must.NoError(t, err)
+			must.Eq(t, pause < rest, n > size, must.Sprint(pause))
+		}
+	})
+}
