Bodies and answers have their time: a client that sends half a body or reads nothing is left, at proxies and at controllers

Root cause: net/http bounds a head and a rest by themselves; with the bounds put in place of its own, nothing was left for a body or an answer, and the doors of controllers had none for answers. Class: a wait on a caller without a deadline. Looked for elsewhere: figures and readiness have bounds now or had; links between our own processes, upstream and the relay had theirs.

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -193,8 +192,7 @@
 			ended <- err
 		}
 	})
-	doors := &http.Server{Handler: h.doors(), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 10 * time.Second,
-		IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}
+	doors := newServer(h.doors())
 	go func() { ended <- errors.Wrap(doors.Serve(lns[3]), "serve, control") }()
 	h.log.Info().Str("event", "serving").Str("control", h.set.Control).Msg("")
 	select {
--- a/proxy/front.go
+++ b/proxy/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -53,18 +54,18 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	body, status := readBody(w, r, doc)
-	if status != 0 {
-		h.Set("Connection", "close")
-		q.turnedAway(r, status, "its body was cut off, malformed or too large")
-		w.WriteHeader(status)
-		return
-	}
 	left := route.Horizon
 	if ms, err := strconv.ParseFloat(r.Header.Get(deadlineMs), 64); err == nil && ms >= 0 {
 		left = min(left, time.Duration(min(ms, 1e9)*float64(time.Millisecond)))
 	}
 	t := &taken{until: at.Add(left)}
+	body, status := readBody(w, r, doc, t.until)
+	if status != 0 {
+		h.Set("Connection", "close")
+		q.turnedAway(r, status, "its body was cut off, malformed, too large or too late")
+		w.WriteHeader(status)
+		return
+	}
 	t.Request = upstream.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, AttemptID: id, Body: body}
 	for name, vs := range r.Header {
 		if name == attemptID || name == deadlineMs || lists(r.Header["Connection"], name) {
@@ -120,31 +121,49 @@
 	return n
 }
 
-// readBody reads a request's body whole; a status other than 0 says what is wrong with it.
-func readBody(w http.ResponseWriter, r *http.Request, doc *manifest.Manifest) ([]byte, int) {
+// bodyRoom is how long after its client's deadline a body may still come: the client's clock started a moment earlier or later.
+const bodyRoom = time.Second
+
+// readBody reads a request's body whole; a status other than 0 says what is wrong with it. One that is not there when the client's
+// time is over is not waited for.
+func readBody(w http.ResponseWriter, r *http.Request, doc *manifest.Manifest, until time.Time) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
 	if r.ContentLength > int64(doc.Limits.BodyBytes) {
 		return nil, http.StatusRequestEntityTooLarge
 	}
+	conn := http.NewResponseController(w)
+	most := min(time.Until(until)+bodyRoom, timeMost)
+	conn.SetReadDeadline(time.Now().Add(most)) // what has no connection needs no bound
 	in := http.MaxBytesReader(w, r.Body, int64(doc.Limits.BodyBytes))
+	var body []byte
+	var err error
 	if n := r.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		if _, err := io.ReadFull(in, body); err != nil {
-			return nil, http.StatusBadRequest
-		}
-		return body, 0
+		body = make([]byte, n)
+		_, err = io.ReadFull(in, body)
+	} else {
+		body, err = io.ReadAll(in)
 	}
-	body, err := io.ReadAll(in)
+	if status := bodyStatus(err); status != 0 {
+		return nil, status
+	}
+	conn.SetReadDeadline(time.Time{})
+	return body, 0
+}
+
+// bodyStatus says what a fault in reading a body is answered with; 0: there is none.
+func bodyStatus(err error) int {
 	var long *http.MaxBytesError
 	switch {
+	case err == nil:
+		return 0
 	case errors.As(err, &long):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
 	}
-	return body, 0
+	return http.StatusBadRequest
 }
 
 func answer(w http.ResponseWriter, f request.Final) {
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -47,16 +47,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return limitedConn{c, l.limits}, nil
+	return &limitedConn{Conn: c, limits: l.limits}, nil
 }
 
 type limitedConn struct {
 	net.Conn
-	limits func() (head, rest time.Duration)
+	limits  func() (head, rest time.Duration)
+	boundAt time.Time // when the bound on writes was last set; used by the one goroutine that writes
+}
+
+// writeBoundEvery is how often the bound on writes is set anew: the least that one gets is the rest less that.
+const writeBoundEvery = time.Second
+
+// Write gives up a client that takes nothing of its answer for as long as a connection may rest.
+func (c *limitedConn) Write(b []byte) (int, error) {
+	if now := time.Now(); now.Sub(c.boundAt) > writeBoundEvery {
+		_, rest := c.limits()
+		if err := c.Conn.SetWriteDeadline(now.Add(rest)); err != nil {
+			return 0, err
+		}
+		c.boundAt = now
+	}
+	return c.Conn.Write(b)
 }
 
 // SetReadDeadline puts the bound of the moment in the place of one that stands for it.
-func (c limitedConn) SetReadDeadline(t time.Time) error {
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
 	if !t.IsZero() {
 		head, rest := c.limits()
 		switch left := time.Until(t); {
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -11,20 +11,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-)
-
-// pipes is a listener whose connections never leave the process.
-type pipes chan net.Conn
 
-func (p pipes) Accept() (net.Conn, error) {
-	c, ok := <-p
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-func (p pipes) Close() error   { close(p); return nil }
-func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+	"peathollow/internal/standin/pipes"
+)
 
 // A connection may rest for as long as the configuration of the moment says, also where that has changed since the
 // connection came up, and a head may take as long. The code before went by 15 s and 3 s whatever the configuration said.
@@ -33,15 +22,14 @@
 		var head, rest atomic.Int64
 		head.Store(int64(3 * time.Second))
 		rest.Store(int64(10 * time.Second))
-		ln := make(pipes)
+		ln := make(pipes.Listener)
 		s := &http.Server{ReadHeaderTimeout: headSign, IdleTimeout: restSign, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 		go s.Serve(limitedListener{ln, func() (time.Duration, time.Duration) {
 			return time.Duration(head.Load()), time.Duration(rest.Load())
 		}})
 		defer s.Close()
 		dial := func() (net.Conn, *bufio.Reader) {
-			near, far := net.Pipe()
-			ln <- far
+			near := ln.Dial()
 			return near, bufio.NewReader(near)
 		}
 		ask := func(c net.Conn, in *bufio.Reader, pause time.Duration) bool {
@@ -75,15 +63,14 @@
 func TestClientThatReadsNothingIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const rest, size = 10 * time.Second, 100 << 10
-		ln := make(pipes)
+		ln := make(pipes.Listener)
 		s := &http.Server{ReadHeaderTimeout: headSign, IdleTimeout: restSign, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Write(make([]byte, size))
 		})}
 		go s.Serve(limitedListener{ln, func() (time.Duration, time.Duration) { return time.Second, rest }})
 		defer s.Close()
 		for _, pause := range []time.Duration{rest - time.Second, rest + time.Second} {
-			near, far := net.Pipe()
-			ln <- far
+			near := ln.Dial()
 			near.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
 			time.Sleep(pause)
 			n, err := io.Copy(io.Discard, near)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -90,7 +90,7 @@
 		Choose: func(int) string { return AgentPort(q.set) }, Network: keepalive.TCP{Relay: q.set.Relay, From: q.set.Node}}
 	go p.Run(all)
 	go figures.ServeFor(all, q.log, q.set.IP, q.set.Metrics, q.figures)
-	rs := &http.Server{Handler: http.HandlerFunc(q.ready), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
+	rs := &http.Server{Handler: http.HandlerFunc(q.ready), ReadTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
 	go rs.Serve(ready)
 	fs := &http.Server{Handler: q, ReadHeaderTimeout: headSign, IdleTimeout: restSign, MaxHeaderBytes: headMost,
 		DisableGeneralOptionsHandler: true}
