--- a/internal/keepalive/network.go
+++ b/internal/keepalive/network.go
@@ -42,7 +42,7 @@
 	}
 	if err := t.call(ctx, c, address, connect); err != nil {
 		c.Close()
-		return nil, err
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err} // as without a relay
 	}
 	return c, nil
 }
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -11,11 +11,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"peathollow/internal/keepalive"
 	"peathollow/internal/standin/berths"
 )
 
@@ -30,6 +30,9 @@
 	leaveEvery  = 3                      // one client in so many of those leaves
 	leaveWithin = 400 * time.Millisecond // after so long at most
 	longMark    = "long-"                // in the path
+
+	burstRate    = 450       // requests a second, beside the usual ones
+	burstNumbers = 1_000_000 // of the requests of one burst: those of the usual load are below
 )
 
 // try is one request on the wire.
@@ -66,6 +69,8 @@
 	run  *run
 	http *http.Client
 
+	bursts atomic.Int64
+
 	mu       sync.Mutex
 	requests []*request
 	planted  func(*http.Response, []byte) []byte // a fault that a test puts in
@@ -111,6 +116,14 @@
 	}
 }
 
+// burst has clients press beyond the usual for a while.
+func (l *load) burst(ctx context.Context, span time.Duration) {
+	ctx, stop := context.WithTimeout(ctx, span)
+	defer stop()
+	first := int(l.bursts.Add(1)) * burstNumbers
+	berths.Send(ctx, burstRate, func(n int) { l.one(first + n) })
+}
+
 // pick chooses a front as the platform does: one that is ready, if any is.
 func (l *load) pick() int {
 	var ready []int
@@ -152,7 +165,7 @@
 	if err != nil {
 		t.fault = err.Error()
 		var dial *net.OpError
-		t.unsent = errors.Is(err, keepalive.ErrRelayed) || errors.As(err, &dial) && dial.Op == "dial"
+		t.unsent = errors.As(err, &dial) && dial.Op == "dial"
 		return l.broken(ctx, t)
 	}
 	defer res.Body.Close()
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -46,6 +46,9 @@
 	SearcherReplace Kind = "searcher-replace" // crashes; its address goes to another service
 	SearcherRude    Kind = "searcher-rude"    // misbehaves on the wire
 	SearcherReset   Kind = "searcher-reset"   // its connections are reset
+	SearcherSlow    Kind = "searcher-slow"    // works many times as long
+	SearcherFailing Kind = "searcher-failing" // fails a part of its requests
+	Burst           Kind = "burst"            // clients press beyond the usual
 	Race            Kind = "race"             // two operators send different configurations under one version
 	Storm           Kind = "storm"            // configurations in quick succession
 	Abuse           Kind = "abuse"            // clients that do what no client should
@@ -54,7 +57,8 @@
 // Kinds are all there are.
 var Kinds = []Kind{KillProcess, KillMachine, KillCore, KillAll, KillRepeatedly, Freeze, FreezeMachine, Terminate, TerminateTwice, TerminateEarly,
 	Reload, ReloadEarly, ReloadTorn, Cut, CutOneWay, Isolate, IsolateOutside, SplitCore, Slow, Reset, LoseAnswers, WipeDisk, WipeAndKillAll, ReplaceCore,
-	SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, Race, Storm, Abuse}
+	SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, SearcherSlow, SearcherFailing, Burst,
+	Race, Storm, Abuse}
 
 // Planned are those after which no request of a client may be lost.
 var Planned = []Kind{Terminate, TerminateTwice, Reload, ReloadTorn, SearcherDrain, SearcherDelete, Race, Storm}
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 	workMost   = 10 * time.Millisecond
 	queueMost  = 16
 	zones      = 3
+	slowTimes  = 30 // as long
+	failEvery  = 3  // requests
 )
 
 // searcher is one life of a searcher, behind an address that outlives it.
@@ -206,7 +209,34 @@
 		reply.Way = some[rand.IntN(len(some))]
 		return reply
 	})
+	r.play(s, span)
+}
+
+// play lets a searcher go by its script for a while, then be as it was.
+func (r *run) play(s *searcher, span time.Duration) {
 	r.pause(span)
 	s.SetScript(work)
 	r.giveBack(s)
 }
+
+// slowDown has a searcher work many times as long for a while.
+func (r *run) slowDown(s *searcher, span time.Duration) {
+	s.SetScript(func(c rude.Call) rude.Reply {
+		reply := work(c)
+		reply.Work *= slowTimes
+		return reply
+	})
+	r.play(s, span)
+}
+
+// fail has a searcher fail some of its requests for a while, as one that feels well.
+func (r *run) fail(s *searcher, span time.Duration) {
+	s.SetScript(func(c rude.Call) rude.Reply {
+		reply := work(c)
+		if rand.IntN(failEvery) == 0 {
+			reply.Status = http.StatusInternalServerError
+		}
+		return reply
+	})
+	r.play(s, span)
+}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -175,6 +175,12 @@
 	return &try{id: "get-1-0", kind: "get", path: "/get/1", sent: time.Now().Add(-time.Second), took: 2 * time.Second, fault: "EOF"}
 }
 
+// leavingFront is front 0 told to end so long before a lost try ended.
+func leavingFront(before time.Duration) *inflicted {
+	t := lostTry()
+	return &inflicted{kind: Terminate, process: "front-0-proxy", from: t.sent.Add(t.took - before)}
+}
+
 // TestLostBesideTrouble: planned work excuses nothing, a front in trouble and a searcher that broke off do.
 func TestLostBesideTrouble(t *testing.T) {
 	for name, excuse := range map[string]func(r *run, s *searcher) bool{
@@ -182,6 +188,14 @@
 			r.inflicted = append(r.inflicted, &inflicted{kind: Terminate, strikes: r.only("front-0")})
 			return false
 		},
+		"planned work, well before its end": func(r *run, s *searcher) bool {
+			r.inflicted = append(r.inflicted, leavingFront(graceOfRun*2/3))
+			return false
+		},
+		"planned work, the searcher takes the whole grace": func(r *run, s *searcher) bool {
+			r.inflicted = append(r.inflicted, leavingFront(graceOfRun*9/10))
+			return true
+		},
 		"another front": func(r *run, s *searcher) bool {
 			r.inflicted = append(r.inflicted, &inflicted{kind: Freeze, strikes: r.only("front-1")})
 			return false
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -25,6 +25,7 @@
 // inflicted is a trouble as it was done: when, and to whom; to everybody if strikes is nil.
 type inflicted struct {
 	kind     Kind
+	process  string // that it strikes, if it is one
 	from, to time.Time
 	strikes  func(machine string) bool
 }
@@ -33,7 +34,7 @@
 func (r *run) inflict(t Trouble) {
 	who := r.strikes(t)
 	r.mu.Lock()
-	in := &inflicted{kind: t.Kind, from: time.Now(), strikes: who}
+	in := &inflicted{kind: t.Kind, process: r.oneOf(t.One).Name, from: time.Now(), strikes: who}
 	r.inflicted = append(r.inflicted, in)
 	r.mu.Unlock()
 	r.note("begin %v", t)
@@ -47,7 +48,8 @@
 // strikes says which machines a trouble touches: trouble of searchers, operators and clients touches none.
 func (r *run) strikes(t Trouble) func(machine string) bool {
 	switch t.Kind {
-	case SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, Race, Storm, Abuse, LoseAnswers:
+	case SearcherCrash, SearcherMute, SearcherDrain, SearcherDelete, SearcherReplace, SearcherRude, SearcherReset, SearcherSlow, SearcherFailing,
+		Burst, Race, Storm, Abuse, LoseAnswers:
 		return func(string) bool { return false }
 	case KillProcess, KillRepeatedly, Freeze, Terminate, TerminateTwice, TerminateEarly, Reload, ReloadEarly, ReloadTorn:
 		return r.only(r.oneOf(t.One).Machine)
@@ -138,6 +140,8 @@
 		r.operators.race(r.ctx)
 	case Storm:
 		r.storm(t.For)
+	case Burst:
+		r.load.burst(r.ctx, t.For)
 	case Abuse:
 		r.abuse(t.For, t.Chance)
 	default:
@@ -165,6 +169,10 @@
 		r.reuse(s, t.Chance)
 	case SearcherRude:
 		r.misbehave(s, t.For, t.Chance)
+	case SearcherSlow:
+		r.slowDown(s, t.For)
+	case SearcherFailing:
+		r.fail(s, t.For)
 	case SearcherReset:
 		s.fallIll()
 		s.Break()
