--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,42 +38,42 @@
 
 // Run serves until ctx ends, and for most of the time of grace after it: the proxy leaves at the same time, and what it
 // still sends must follow the news.
-func (t *Agent) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", proxy.AgentPort(t.set))
+func (a *Agent) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", proxy.AgentPort(a.set))
 	if err != nil {
 		return errors.Wrap(err, "listen, loopback")
 	}
 	all, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	s := distribution.Server{Board: t.board, Met: func(a *distribution.Ask) {
+	s := distribution.Server{Board: a.board, Met: func(ask *distribution.Ask) {
 		now := time.Now()
-		t.proxies.met(now, a)
-		t.board.SetSlackSpent(t.proxies.slackSpent(now)) // before the answer to a new life
+		a.proxies.met(now, ask)
+		a.board.SetSlackSpent(a.proxies.slackSpent(now)) // before the answer to ask new life
 	}}
 	go s.Serve(all, ln)
-	if t.heart, err = newHeart(t, heartbeatEvery); err != nil {
-		t.log.Error().Str("event", "heartbeats").Err(err).Msg("")
+	if a.heart, err = newHeart(a, heartbeatEvery); err != nil {
+		a.log.Error().Str("event", "heartbeats").Err(err).Msg("")
 	}
-	go t.heart.run(all)
-	go figures.ServeFor(all, t.log, t.set.IP, t.set.Metrics, t.figures)
-	choice := Choice{Set: t.set, Board: t.board, Seeds: seedNews(t.set)}
-	p := distribution.Puller{Board: t.board, Node: t.set.Node, Life: t.life, Kind: "agent", Choose: choice.Choose, MoveOn: true, Better: choice.Better,
-		Say: t.heart.say, Answered: t.link.answered, Network: keepalive.TCP{Relay: t.set.Relay, From: t.set.Node},
+	go a.heart.run(all)
+	go figures.ServeFor(all, a.log, a.set.IP, a.set.Metrics, a.figures)
+	choice := Choice{Set: a.set, Board: a.board, Seeds: seedNews(a.set)}
+	p := distribution.Puller{Board: a.board, Node: a.set.Node, Life: a.life, Kind: "agent", Choose: choice.Choose, MoveOn: true, Better: choice.Better,
+		Say: a.heart.say, Answered: a.link.answered, Network: keepalive.TCP{Relay: a.set.Relay, From: a.set.Node},
 		Fault: func(peer string, err error) {
-			t.link.faults.Add(1)
-			t.log.Warn().Str("event", "link").Str("peer", peer).Err(err).Msg("")
+			a.link.faults.Add(1)
+			a.log.Warn().Str("event", "link").Str("peer", peer).Err(err).Msg("")
 		}}
 	go p.Run(all)
-	go t.tick(all)
-	t.log.Info().Str("event", "serving").Msg("")
+	go a.tick(all)
+	a.log.Info().Str("event", "serving").Msg("")
 	<-ctx.Done()
-	t.leaving.Store(true)
-	time.Sleep(t.set.AgentEndsAfter())
+	a.leaving.Store(true)
+	time.Sleep(a.set.AgentEndsAfter())
 	return nil
 }
 
-func (t *Agent) tick(ctx context.Context) {
-	k := time.NewTicker(t.set.BeatPeriod / 2)
+func (a *Agent) tick(ctx context.Context) {
+	k := time.NewTicker(a.set.BeatPeriod / 2)
 	defer k.Stop()
 	for {
 		select {
@@ -81,12 +81,12 @@
 			return
 		case <-k.C:
 			n := 0
-			t.board.With(func(r *registry.Registry) bool {
-				n = distribution.CountMixers(r, t.set.RetryWindow)
+			a.board.With(func(r *registry.Registry) bool {
+				n = distribution.CountMixers(r, a.set.RetryWindow)
 				return r.Tick(time.Now())
 			})
-			t.board.SetMixers(n)
-			t.board.SetSlackSpent(t.proxies.slackSpent(time.Now()))
+			a.board.SetMixers(n)
+			a.board.SetSlackSpent(a.proxies.slackSpent(time.Now()))
 		}
 	}
 }
--- a/agent/figures.go
+++ b/agent/figures.go
@@ -28,21 +28,21 @@
 }
 
 // figures tells what the agent knows and from whom.
-func (t *Agent) figures(emit figures.Emit) {
-	emit("link_answers_total", float64(t.link.answers.Load()))
-	emit("link_faults_total", float64(t.link.faults.Load()))
-	t.link.mu.Lock()
-	peer, at, alone := t.link.peer, t.link.at, t.link.alone
-	t.link.mu.Unlock()
+func (a *Agent) figures(emit figures.Emit) {
+	emit("link_answers_total", float64(a.link.answers.Load()))
+	emit("link_faults_total", float64(a.link.faults.Load()))
+	a.link.mu.Lock()
+	peer, at, alone := a.link.peer, a.link.at, a.link.alone
+	a.link.mu.Unlock()
 	if !at.IsZero() {
 		emit("link_answer_age_seconds", time.Since(at).Seconds(), figures.Label{Name: "peer", Value: peer})
 		emit("link_peer_alone", figures.Truth(alone))
 	}
-	if doc := t.board.Document(); doc != nil {
+	if doc := a.board.Document(); doc != nil {
 		emit("configuration_version", float64(doc.Version))
 	}
-	emit("mixers_known", float64(t.board.Mixers()))
-	emit("controllers_known", float64(len(t.board.Core())))
-	emit("leaving", figures.Truth(t.leaving.Load()))
-	distribution.EmitList(t.board, emit)
+	emit("mixers_known", float64(a.board.Mixers()))
+	emit("controllers_known", float64(len(a.board.Core())))
+	emit("leaving", figures.Truth(a.leaving.Load()))
+	distribution.EmitList(a.board, emit)
 }
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -24,7 +24,7 @@
 
 // heart moves the heartbeats that failuredetector decides on.
 type heart struct {
-	t     *Agent
+	agent *Agent
 	conn  *net.UDPConn
 	start time.Time
 	every time.Duration
@@ -38,11 +38,11 @@
 }
 
 // newHeart listens; without a socket it beats not, and the mixer is known by its pulls alone.
-func newHeart(t *Agent, every time.Duration) (*heart, error) {
-	h := &heart{t: t, start: time.Now(), every: every, me: failuredetector.Node{Life: t.life, Zone: t.set.Zone, Region: t.set.Region}}
-	ip, err := netip.ParseAddr(t.set.IP)
+func newHeart(a *Agent, every time.Duration) (*heart, error) {
+	h := &heart{agent: a, start: time.Now(), every: every, me: failuredetector.Node{Life: a.life, Zone: a.set.Zone, Region: a.set.Region}}
+	ip, err := netip.ParseAddr(a.set.IP)
 	if err == nil {
-		h.me.Addr = netip.AddrPortFrom(ip, uint16(t.set.PortFirst+portHeartbeat))
+		h.me.Addr = netip.AddrPortFrom(ip, uint16(a.set.PortFirst+portHeartbeat))
 		h.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(h.me.Addr))
 	}
 	if err != nil {
@@ -73,7 +73,7 @@
 		h.mu.Lock()
 		no, to := h.look.Tick(time.Now())
 		h.mu.Unlock()
-		b := failuredetector.AppendHeartbeat(buf[:0], failuredetector.Key(h.t.life), no)
+		b := failuredetector.AppendHeartbeat(buf[:0], failuredetector.Key(h.agent.life), no)
 		for _, addr := range to {
 			h.conn.WriteToUDPAddrPort(b, addr) // lost ones don't matter
 		}
@@ -104,14 +104,14 @@
 func (h *heart) know() {
 	var nodes []failuredetector.Node
 	same := false
-	h.t.board.With(func(r *registry.Registry) bool {
+	h.agent.board.With(func(r *registry.Registry) bool {
 		gen := r.Generation()
 		if same = gen == h.gen; same {
 			return false
 		}
 		h.gen = gen
 		for m := range distribution.Mixers(r) {
-			nodes = append(nodes, failuredetector.Node{Life: m.Life, Addr: m.Addr, Zone: m.Zone, Region: h.t.set.Zones[m.Zone],
+			nodes = append(nodes, failuredetector.Node{Life: m.Life, Addr: m.Addr, Zone: m.Zone, Region: h.agent.set.Zones[m.Zone],
 				Silent: m.Silent, Leaving: m.Leaving})
 		}
 		return false
@@ -132,9 +132,9 @@
 	defer h.mu.Unlock()
 	// By time, so that there is room for the beats that a controller gives in our name while we are out of its reach.
 	h.calls = max(h.calls+1, uint64(time.Since(h.start)/time.Microsecond))
-	p := &distribution.Pulse{Calls: h.calls, Leaving: h.t.leaving.Load(), Missed: h.look.Missed(), Seen: h.look.Seen()}
+	p := &distribution.Pulse{Calls: h.calls, Leaving: h.agent.leaving.Load(), Missed: h.look.Missed(), Seen: h.look.Seen()}
 	if first {
-		p.Zone = h.t.set.Zone
+		p.Zone = h.agent.set.Zone
 		if h.me.Addr.IsValid() {
 			p.Addr = h.me.Addr.String()
 		}
--- a/cmd/peathollow/lab.go
+++ b/cmd/peathollow/lab.go
@@ -19,6 +19,18 @@
 	return group("lab", "Measure the system on this machine", labScale(), labSoak(), labHollow())
 }
 
+// checkRun checks the options of a run of this program's own processes, and gives their first arguments.
+func checkRun(options interface{ Check() error }) (program []string, err error) {
+	if err := options.Check(); err != nil {
+		return nil, coded{err, exitUsage}
+	}
+	path, err := os.Executable()
+	if err != nil {
+		return nil, errors.Wrap(err, "this program")
+	}
+	return []string{path}, nil
+}
+
 func labScale() *cli.Command {
 	o := scale.Default()
 	asJSON := false
@@ -43,16 +55,12 @@
 			&cli.DurationFlag{Name: "start-most", Value: o.Warm, Destination: &o.Warm, Usage: "for all to know all at the start"},
 			&cli.BoolFlag{Name: "json", Destination: &asJSON, Usage: "print JSON"},
 		}}, 0, func(ctx context.Context, c *cli.Command) error {
-		if err := o.Check(); err != nil {
-			return coded{err, exitUsage}
-		}
-		program, err := os.Executable()
-		if err != nil {
-			return errors.Wrap(err, "this program")
+		var err error
+		if o.Program, err = checkRun(&o); err != nil {
+			return err
 		}
 		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 		defer stop()
-		o.Program = []string{program}
 		began := time.Now()
 		o.Out = func(s string) { fmt.Fprintf(c.Root().ErrWriter, "%6.1f s  %s\n", time.Since(began).Seconds(), s) }
 		r, err := scale.Run(ctx, o)
--- a/cmd/peathollow/soak.go
+++ b/cmd/peathollow/soak.go
@@ -39,16 +39,11 @@
 		if o.Trouble, err = soak.ParseKinds(kinds); err != nil {
 			return coded{err, exitUsage}
 		}
-		if err := o.Check(); err != nil {
-			return coded{err, exitUsage}
-		}
-		program, err := os.Executable()
-		if err != nil {
-			return errors.Wrap(err, "this program")
+		if o.Program, err = checkRun(&o); err != nil {
+			return err
 		}
 		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 		defer stop()
-		o.Program = []string{program}
 		if follow {
 			o.Out = func(line string) { fmt.Fprintln(c.Root().ErrWriter, line) }
 		}
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -91,9 +91,13 @@
 }
 
 // alone is a core of one machine that leads.
-func alone(t *testing.T) *Node {
-	c := cold("a")
-	c.Seeds, c.Losses = []string{"a"}, 0
+func alone(t *testing.T) *Node { return aloneAt(t, "a") }
+
+// aloneAt is one founded at an address.
+func aloneAt(t *testing.T, addr string) *Node {
+	t.Helper()
+	c := cold(addr)
+	c.Seeds, c.Losses = []string{addr}, 0
 	n := New(c, nil, 0)
 	for now := time.Duration(0); now < time.Second; now += tick {
 		n.Tick(now)
--- a/consensus/system_test.go
+++ b/consensus/system_test.go
@@ -9,19 +9,7 @@
 
 // otherSystem is the only member of a system founded elsewhere, as it is met when its machine gets an address that one of this
 // system had, or comes with the disk of its former life.
-func otherSystem(t *testing.T) *Node {
-	t.Helper()
-	c := cold("x")
-	c.Seeds, c.Losses = []string{"x"}, 0
-	n := New(c, nil, 0)
-	for now := time.Duration(0); now < time.Second; now += tick {
-		n.Tick(now)
-		drain(n, now)
-	}
-	_, leads := n.Leading()
-	must.True(t, leads)
-	return n
-}
+func otherSystem(t *testing.T) *Node { return aloneAt(t, "x") }
 
 // TestAnotherSystemIsNotFollowed: epochs and ballots of a system that was founded elsewhere change nothing here, whatever their
 // numbers. The code before followed the higher number, and ended where the numbers were alike (soak seed 339 met the first).
--- a/controlplane/calls.go
+++ b/controlplane/calls.go
@@ -28,21 +28,21 @@
 )
 
 // call has a call done here, or by the primary as far as known; it moves on as take-overs show.
-func (h *Controller) call(ctx context.Context, x Call) (consensus.Answer, error) {
-	if !h.inTouch() {
+func (c *Controller) call(ctx context.Context, x Call) (consensus.Answer, error) {
+	if !c.inTouch() {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, aloneCallMost)
 		defer stop()
 	}
 	var last error
 	for ctx.Err() == nil {
-		a, err := h.core.ask(ctx, call{read: x.Read, doc: x.Doc})
+		a, err := c.core.ask(ctx, call{read: x.Read, doc: x.Doc})
 		if err == nil && a.Result != consensus.Refused {
 			return a, nil
 		}
 		if last = err; err == nil && a.Primary != "" && x.Hops < hopsMost {
-			if host, _, e := net.SplitHostPort(a.Primary); e == nil && host != h.set.IP {
-				if a, err = h.pass(ctx, net.JoinHostPort(host, strconv.Itoa(h.set.PortFirst+portCalls)), x); err == nil && a.Result != consensus.Refused {
+			if host, _, e := net.SplitHostPort(a.Primary); e == nil && host != c.set.IP {
+				if a, err = c.pass(ctx, net.JoinHostPort(host, strconv.Itoa(c.set.PortFirst+portCalls)), x); err == nil && a.Result != consensus.Refused {
 					return a, nil
 				}
 				last = err
@@ -60,38 +60,38 @@
 }
 
 // pass hands a call to another controller.
-func (h *Controller) pass(ctx context.Context, addr string, x Call) (consensus.Answer, error) {
+func (c *Controller) pass(ctx context.Context, addr string, x Call) (consensus.Answer, error) {
 	var a consensus.Answer
-	c, err := h.network.Dial(ctx, addr, 400*time.Millisecond, unackedMost)
+	conn, err := c.network.Dial(ctx, addr, 400*time.Millisecond, unackedMost)
 	if err != nil {
 		return a, errors.Wrapf(err, "dial, peer %s", addr)
 	}
-	defer c.Close()
+	defer conn.Close()
 	until, _ := ctx.Deadline()
-	c.SetDeadline(until)
+	conn.SetDeadline(until)
 	x.Hops, x.Until = x.Hops+1, time.Until(until)
-	if err := gob.NewEncoder(c).Encode(&x); err != nil {
+	if err := gob.NewEncoder(conn).Encode(&x); err != nil {
 		return a, errors.Wrapf(err, "call, peer %s", addr)
 	}
-	if err := gob.NewDecoder(c).Decode(&a); err != nil {
+	if err := gob.NewDecoder(conn).Decode(&a); err != nil {
 		return a, errors.Wrapf(err, "answer, peer %s", addr)
 	}
 	return a, nil
 }
 
 // serveCalls does what other controllers pass on.
-func (h *Controller) serveCalls(ctx context.Context, ln net.Listener) {
-	keepalive.Accept(ctx, ln, func(c net.Conn) {
-		c.SetDeadline(time.Now().Add(3 * time.Second))
+func (c *Controller) serveCalls(ctx context.Context, ln net.Listener) {
+	keepalive.Accept(ctx, ln, func(conn net.Conn) {
+		conn.SetDeadline(time.Now().Add(3 * time.Second))
 		var x Call
-		if gob.NewDecoder(c).Decode(&x) != nil {
+		if gob.NewDecoder(conn).Decode(&x) != nil {
 			return
 		}
 		in, stop := context.WithTimeout(ctx, min(max(x.Until-20*time.Millisecond, time.Millisecond), callMost))
 		defer stop()
-		a, err := h.core.ask(in, call{read: x.Read, doc: x.Doc})
+		a, err := c.core.ask(in, call{read: x.Read, doc: x.Doc})
 		if err == nil {
-			gob.NewEncoder(c).Encode(&a)
+			gob.NewEncoder(conn).Encode(&a)
 		}
 	})
 }
--- a/controlplane/contact.go
+++ b/controlplane/contact.go
@@ -36,41 +36,41 @@
 }
 
 // answers notes that a controller has answered a pull, asked at some time.
-func (h *Controller) answers(addr string, asked time.Time) {
-	e := h.core.members()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.noticeLapse(e)
-	if asked.After(h.answered[addr]) {
-		h.answered[addr] = asked
+func (c *Controller) answers(addr string, asked time.Time) {
+	e := c.core.members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noticeLapse(e)
+	if asked.After(c.answered[addr]) {
+		c.answered[addr] = asked
 	}
 }
 
 // inTouch tells whether a majority of the members pulls here and answers pulls from here.
-func (h *Controller) inTouch() bool {
-	e := h.core.members()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.touches(e)
+func (c *Controller) inTouch() bool {
+	e := c.core.members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.touches(e)
 }
 
 // touches tells so of the members of an epoch; the lock is held.
-func (h *Controller) touches(e consensus.Epoch) bool {
+func (c *Controller) touches(e consensus.Epoch) bool {
 	now := time.Now()
-	pulls := h.pullers(now)
+	pulls := c.pullers(now)
 	return quorumByIP(e, func(_ consensus.ID, ip string) bool {
-		return ip == h.set.IP || pulls[ip] && now.Sub(h.answered[h.newsAddr(ip)]) < contactLease
+		return ip == c.set.IP || pulls[ip] && now.Sub(c.answered[c.newsAddr(ip)]) < contactLease
 	})
 }
 
 // noticeLapse ends contact whose lease is over, before anything renews the lease; the lock is held. What was learned before
 // the lapse has to be learned anew.
-func (h *Controller) noticeLapse(e consensus.Epoch) (touch bool) {
-	c := &h.contact
-	if touch = h.touches(e); !touch && c.touch {
-		c.touch, c.confirmed = false, false
-		c.since++
-		h.sight.lapses.Add(1)
+func (c *Controller) noticeLapse(e consensus.Epoch) (touch bool) {
+	state := &c.contact
+	if touch = c.touches(e); !touch && state.touch {
+		state.touch, state.confirmed = false, false
+		state.since++
+		c.sight.lapses.Add(1)
 	}
 	return touch
 }
@@ -84,63 +84,63 @@
 }
 
 // renew follows whether this controller is in contact; in touch again, it asks what is in force.
-func (h *Controller) renew(ctx context.Context) (touch bool) {
-	e := h.core.members()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	touch = h.noticeLapse(e)
-	c := &h.contact
-	c.touch = touch
-	if touch && !c.confirmed && !c.asking {
-		c.asking = true
-		go h.confirm(ctx, c.since)
+func (c *Controller) renew(ctx context.Context) (touch bool) {
+	e := c.core.members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	touch = c.noticeLapse(e)
+	state := &c.contact
+	state.touch = touch
+	if touch && !state.confirmed && !state.asking {
+		state.asking = true
+		go c.confirm(ctx, state.since)
 	}
 	return touch
 }
 
 // confirm learns what is in force. The read is answered only after a majority said that it had promised nothing newer.
-func (h *Controller) confirm(ctx context.Context, since uint64) {
+func (c *Controller) confirm(ctx context.Context, since uint64) {
 	ctx, stop := context.WithTimeout(ctx, callMost)
 	defer stop()
-	a, err := h.call(ctx, Call{Read: true})
+	a, err := c.call(ctx, Call{Read: true})
 	known := err == nil && a.Result == consensus.OK
 	if known && a.Doc.Version > 0 {
-		h.committed(a.Doc)
-		known = h.version() >= a.Doc.Version
+		c.committed(a.Doc)
+		known = c.version() >= a.Doc.Version
 	}
 	if known {
-		recalled := h.recalled.Load()
+		recalled := c.recalled.Load()
 		invariant.Check(invariant.VersionRises, a.Doc.Version >= recalled, "version %d is in force, the disk remembers %d", a.Doc.Version, recalled)
 	}
-	e := h.core.members()
-	h.mu.Lock()
-	h.contact.asking = false
-	if known && h.noticeLapse(e) && h.contact.touch && h.contact.since == since {
-		h.contact.confirmed = true
+	e := c.core.members()
+	c.mu.Lock()
+	c.contact.asking = false
+	if known && c.noticeLapse(e) && c.contact.touch && c.contact.since == since {
+		c.contact.confirmed = true
 	}
-	h.mu.Unlock()
-	h.board.SetAlone(!h.inContact()) // wakes those that wait; what they get the board asks at that moment
+	c.mu.Unlock()
+	c.board.SetAlone(!c.inContact()) // wakes those that wait; what they get the board asks at that moment
 }
 
 // inContact tells whether this controller may hand out what it knows.
-func (h *Controller) inContact() bool {
-	e := h.core.members()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.noticeLapse(e) && h.contact.confirmed || h.plant.ServeBeforeContact
+func (c *Controller) inContact() bool {
+	e := c.core.members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.noticeLapse(e) && c.contact.confirmed || c.plant.ServeBeforeContact
 }
 
 // fresh gives the addresses of the controllers that pull here.
-func (h *Controller) fresh() map[string]bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.pullers(time.Now())
+func (c *Controller) fresh() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pullers(time.Now())
 }
 
 // pullers does so with the lock held.
-func (h *Controller) pullers(now time.Time) map[string]bool {
-	ips := map[string]bool{h.set.IP: true}
-	for _, p := range h.peers {
+func (c *Controller) pullers(now time.Time) map[string]bool {
+	ips := map[string]bool{c.set.IP: true}
+	for _, p := range c.peers {
 		if now.Sub(p.at) < pullsFor {
 			ips[p.ip] = true
 		}
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -117,13 +117,13 @@
 // NewOn opens the store and makes a controller on a platform.
 func NewOn(on Platform, s *settings.Settings, life string, l *log.Logger) (*Controller, error) {
 	now := time.Now()
-	h := &Controller{set: s, log: l, life: life, fronts: map[string]*front{}, peers: map[string]peer{},
+	c := &Controller{set: s, log: l, life: life, fronts: map[string]*front{}, peers: map[string]peer{},
 		pulls: map[string]pull{}, answered: map[string]time.Time{}, kept: map[string]registry.Vector{}, told: make(chan struct{}), orders: make(chan struct{}, ordersMost),
 		network: on.Network, plant: on.Plant,
 		sight: sight{lines: logbound.Limiter{PerSecond: refusalLines}, strangers: logbound.Limiter{PerSecond: strangerLines}, calls: map[answered]uint64{}}}
-	h.judge = failuredetector.NewJudge(failuredetector.JudgeConfig{Period: s.BeatPeriod})
-	h.board = distribution.NewBoard(registry.New(registry.Config{Name: life, Period: s.BeatPeriod, Start: now}))
-	h.board.SetAlone(true) // until a majority is met
+	c.judge = failuredetector.NewJudge(failuredetector.JudgeConfig{Period: s.BeatPeriod})
+	c.board = distribution.NewBoard(registry.New(registry.Config{Name: life, Period: s.BeatPeriod, Start: now}))
+	c.board.SetAlone(true) // until a majority is met
 	store, saved, lost, err := storage.OpenOn(on.Files, s.DataDir)
 	if err != nil {
 		return nil, errors.Wrap(err, "storage")
@@ -132,24 +132,24 @@
 	if lost != nil {
 		l.Error().Str("event", "disk-lost").Str("folder", s.DataDir).Err(lost).Msg("")
 	}
-	h.store = store
-	c := consensus.Config{ID: consensus.ID(drawn()), Addr: h.at(s.IP, portMail), Zone: s.Zone, Region: s.Region, Counts: s.CountsLoss,
+	c.store = store
+	config := consensus.Config{ID: consensus.ID(drawn()), Addr: c.at(s.IP, portMail), Zone: s.Zone, Region: s.Region, Counts: s.CountsLoss,
 		Losses: s.MachineLosses, Zones: s.ZoneLosses, Regions: s.RegionLosses, ColdStart: cold, Seed: uint64(now.UnixNano())}
 	for _, seed := range s.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err != nil {
 			return nil, errors.Wrapf(err, "seed %s", seed)
 		}
-		c.Seeds = append(c.Seeds, h.at(host, portMail))
+		config.Seeds = append(config.Seeds, c.at(host, portMail))
 	}
-	h.core = &core{node: consensus.New(c, saved, 0), store: store, log: l, start: now, inbox: make(chan consensus.Message, inboxMost), leave: make(chan struct{}), left: make(chan struct{}),
-		ackUnsynced: on.Plant.AckUnsynced, sight: &h.sight,
+	c.core = &core{node: consensus.New(config, saved, 0), store: store, log: l, start: now, inbox: make(chan consensus.Message, inboxMost), leave: make(chan struct{}), left: make(chan struct{}),
+		ackUnsynced: on.Plant.AckUnsynced, sight: &c.sight,
 		calls: make(chan call, 64), writes: make(chan consensus.Write, 4), saved: make(chan uint64, 4), jobs: make(chan func() error, 1),
-		committed: h.committed, changed: h.members}
-	h.board.Guard(h.inContact)
-	h.recall()
-	l.Info().Str("event", "start").Str("id", string(h.core.node.ID())).Bool("remembers", saved != nil).Bool("cold", cold).Msg("")
-	return h, nil
+		committed: c.committed, changed: c.members}
+	c.board.Guard(c.inContact)
+	c.recall()
+	l.Info().Str("event", "start").Str("id", string(c.core.node.ID())).Bool("remembers", saved != nil).Bool("cold", cold).Msg("")
+	return c, nil
 }
 
 func drawn() string {
@@ -158,56 +158,56 @@
 	return hex.EncodeToString(b[:])
 }
 
-func (h *Controller) at(ip string, port int) string {
-	return net.JoinHostPort(ip, strconv.Itoa(h.set.PortFirst+port))
+func (c *Controller) at(ip string, port int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(c.set.PortFirst+port))
 }
 
 // handOverMost is how long a controller that is to end goes on until it has handed over.
 const handOverMost = 2 * time.Second
 
 // Run serves until ctx ends, and until it has handed over what hangs on it.
-func (h *Controller) Run(told context.Context) error {
+func (c *Controller) Run(told context.Context) error {
 	ctx, stop := context.WithCancel(context.WithoutCancel(told))
 	defer stop()
 	var lns [4]net.Listener
-	for i, addr := range []string{h.at(h.set.IP, portMail), h.at(h.set.IP, portNews), h.at(h.set.IP, portCalls), h.set.Control} {
-		ln, err := h.network.Listen(addr)
+	for i, addr := range []string{c.at(c.set.IP, portMail), c.at(c.set.IP, portNews), c.at(c.set.IP, portCalls), c.set.Control} {
+		ln, err := c.network.Listen(addr)
 		if err != nil {
 			return errors.Wrapf(err, "listen %s", addr)
 		}
 		lns[i] = ln
 	}
-	h.core.mail = newMail(ctx, h.network)
+	c.core.mail = newMail(ctx, c.network)
 	ended := make(chan error, 2)
-	go receive(ctx, lns[0], h.core.inbox, h.core.mail.heard)
-	news := distribution.Server{Board: h.board, Met: h.met}
+	go receive(ctx, lns[0], c.core.inbox, c.core.mail.heard)
+	news := distribution.Server{Board: c.board, Met: c.met}
 	go news.Serve(ctx, lns[1])
-	go h.serveCalls(ctx, lns[2])
-	go figures.ServeFor(ctx, h.log, h.set.IP, h.set.Metrics, h.figures)
-	h.running.Go(func() { h.tend(ctx) })
-	h.running.Go(func() { h.remember(ctx) })
-	h.running.Go(func() { h.core.write(ctx) })
-	h.running.Go(func() {
-		if err := h.core.run(ctx); err != nil {
+	go c.serveCalls(ctx, lns[2])
+	go figures.ServeFor(ctx, c.log, c.set.IP, c.set.Metrics, c.figures)
+	c.running.Go(func() { c.tend(ctx) })
+	c.running.Go(func() { c.remember(ctx) })
+	c.running.Go(func() { c.core.write(ctx) })
+	c.running.Go(func() {
+		if err := c.core.run(ctx); err != nil {
 			ended <- err
 		}
 	})
-	doors := newServer(h.doors())
+	doors := newServer(c.doors())
 	go func() { ended <- errors.Wrap(doors.Serve(lns[3]), "serve, control") }()
-	h.log.Info().Str("event", "serving").Str("control", h.set.Control).Msg("")
+	c.log.Info().Str("event", "serving").Str("control", c.set.Control).Msg("")
 	select {
 	case err := <-ended:
 		return err
 	case <-told.Done():
 	}
-	close(h.core.leave)
+	close(c.core.leave)
 	select {
 	case err := <-ended:
 		return err
-	case <-h.core.left:
-	case <-time.After(min(handOverMost, h.set.Grace/2)):
+	case <-c.core.left:
+	case <-time.After(min(handOverMost, c.set.Grace/2)):
 	}
-	h.log.Info().Str("event", "left").Msg("")
+	c.log.Info().Str("event", "left").Msg("")
 	last, end := context.WithTimeout(ctx, lastAnswers)
 	defer end()
 	doors.Shutdown(last)
@@ -216,17 +216,17 @@
 }
 
 // Close closes the store, once Run has returned and what uses the store has ended.
-func (h *Controller) Close() error {
-	h.running.Wait()
-	return h.store.Close()
+func (c *Controller) Close() error {
+	c.running.Wait()
+	return c.store.Close()
 }
 
 // lastAnswers is how long calls in hand may take once everything is handed over.
 const lastAnswers = 300 * time.Millisecond
 
 // tend looks after what only time changes.
-func (h *Controller) tend(ctx context.Context) {
-	t := time.NewTicker(h.set.BeatPeriod / 6)
+func (c *Controller) tend(ctx context.Context) {
+	t := time.NewTicker(c.set.BeatPeriod / 6)
 	defer t.Stop()
 	soon := time.NewTicker(contactEvery)
 	defer soon.Stop()
@@ -235,37 +235,37 @@
 		case <-ctx.Done():
 			return
 		case <-soon.C: // only until there is contact: fronts may have nothing to serve by
-			if h.renew(ctx); h.inContact() {
+			if c.renew(ctx); c.inContact() {
 				soon.Stop()
 			}
 			continue
 		case <-t.C:
 		}
-		alone := !h.renew(ctx)
-		h.board.With(func(r *registry.Registry) bool {
-			h.adopt(r, alone)
-			revived := h.mind(r, alone)
+		alone := !c.renew(ctx)
+		c.board.With(func(r *registry.Registry) bool {
+			c.adopt(r, alone)
+			revived := c.mind(r, alone)
 			return r.Tick(time.Now()) || revived
 		})
-		h.board.SetAlone(!h.inContact())
+		c.board.SetAlone(!c.inContact())
 	}
 }
 
 // committed takes a configuration that is in force.
-func (h *Controller) committed(d consensus.Doc) {
-	m, err := h.parsed(d)
+func (c *Controller) committed(d consensus.Doc) {
+	m, err := c.parsed(d)
 	if err != nil {
-		h.log.Error().Str("event", "configuration").Uint64("version", d.Version).Err(err).Msg("")
+		c.log.Error().Str("event", "configuration").Uint64("version", d.Version).Err(err).Msg("")
 		return
 	}
-	if h.board.Put(m) {
-		h.log.Info().Str("event", "configuration").Uint64("version", d.Version).Int("routes", len(m.Routes)).Msg("")
+	if c.board.Put(m) {
+		c.log.Info().Str("event", "configuration").Uint64("version", d.Version).Int("routes", len(m.Routes)).Msg("")
 	}
 }
 
 // parsed gives a configuration that consensus holds; the machine that took the order has parsed it already.
-func (h *Controller) parsed(d consensus.Doc) (*manifest.Manifest, error) {
-	if m := h.taken.Load(); m != nil && m.Version == d.Version && xxh3.Hash(m.Raw) == d.Digest {
+func (c *Controller) parsed(d consensus.Doc) (*manifest.Manifest, error) {
+	if m := c.taken.Load(); m != nil && m.Version == d.Version && xxh3.Hash(m.Raw) == d.Digest {
 		return m, nil
 	}
 	return open(d.Body)
@@ -280,7 +280,7 @@
 }
 
 // members has news pulled from each other member, and tells the agents where controllers are.
-func (h *Controller) members(e consensus.Epoch) {
+func (c *Controller) members(e consensus.Epoch) {
 	var core []distribution.Place
 	want := map[string]bool{}
 	for _, m := range e.Members {
@@ -288,58 +288,58 @@
 		if err != nil {
 			continue
 		}
-		at := h.newsAddr(host)
+		at := c.newsAddr(host)
 		core = append(core, distribution.Place{Addr: at, Zone: m.Zone, Region: m.Region})
-		if host != h.set.IP {
+		if host != c.set.IP {
 			want[at] = true
 		}
 	}
-	h.board.SetSystem(uint64(e.System))
-	h.board.SetCore(core)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for at, p := range h.pulls {
+	c.board.SetSystem(uint64(e.System))
+	c.board.SetCore(core)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at, p := range c.pulls {
 		if !want[at] {
 			p.stop()
-			delete(h.pulls, at)
-			delete(h.answered, at)
-			delete(h.kept, at)
+			delete(c.pulls, at)
+			delete(c.answered, at)
+			delete(c.kept, at)
 		}
 	}
 	for at := range want {
-		if _, pulling := h.pulls[at]; !pulling {
-			ctx, stop := context.WithCancel(h.core.mail.ctx)
+		if _, pulling := c.pulls[at]; !pulling {
+			ctx, stop := context.WithCancel(c.core.mail.ctx)
 			alive := make(chan struct{}, 1)
-			h.pulls[at] = pull{stop, alive}
-			p := distribution.Puller{Board: h.board, Node: h.set.Node, Life: h.life, IP: h.set.IP, Kind: "controller", Peer: true, Say: h.say,
-				Choose: func(int) string { return at }, Answered: func(_ string, _ *distribution.Cargo, asked time.Time) { h.answers(at, asked) }, Keeps: h.keeps, Network: h.network,
+			c.pulls[at] = pull{stop, alive}
+			p := distribution.Puller{Board: c.board, Node: c.set.Node, Life: c.life, IP: c.set.IP, Kind: "controller", Peer: true, Say: c.say,
+				Choose: func(int) string { return at }, Answered: func(_ string, _ *distribution.Cargo, asked time.Time) { c.answers(at, asked) }, Keeps: c.keeps, Network: c.network,
 				Alive: alive}
 			go p.Run(ctx)
 		}
 	}
 }
 
-func (h *Controller) met(a *distribution.Ask) {
+func (c *Controller) met(a *distribution.Ask) {
 	switch a.Kind {
 	case "agent":
-		h.pulled(a)
+		c.pulled(a)
 	case "controller":
-		e := h.core.members()
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.noticeLapse(e)
-		h.peers[a.Node] = peer{a.Life, a.IP, time.Now()}
-		h.pulls[h.newsAddr(a.IP)].heard()
+		e := c.core.members()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.noticeLapse(e)
+		c.peers[a.Node] = peer{a.Life, a.IP, time.Now()}
+		c.pulls[c.newsAddr(a.IP)].heard()
 		if a.Word != nil {
-			h.judge.Told(time.Now(), a.Node, *a.Word)
+			c.judge.Told(time.Now(), a.Node, *a.Word)
 		} else {
-			h.judge.Told(time.Now(), a.Node, failuredetector.Word{})
+			c.judge.Told(time.Now(), a.Node, failuredetector.Word{})
 		}
 	}
 }
 
 // newsAddr is where the controller at an address serves news.
-func (h *Controller) newsAddr(ip string) string { return net.JoinHostPort(ip, NewsPort(h.set)) }
+func (c *Controller) newsAddr(ip string) string { return net.JoinHostPort(ip, NewsPort(c.set)) }
 
 // forgetAfter is how long a process that isn't heard any more is counted.
 const forgetAfter = 5 * time.Second
--- a/controlplane/doors.go
+++ b/controlplane/doors.go
@@ -50,13 +50,13 @@
 	{"GET /searchers", 0, callMost, (*Controller).searchers},
 }
 
-func (h *Controller) doors() http.Handler {
+func (c *Controller) doors() http.Handler {
 	mux := http.NewServeMux()
 	for _, d := range doors {
 		mux.HandleFunc(d.pattern, func(w http.ResponseWriter, r *http.Request) {
 			began := time.Now()
 			answer := func(x reply) {
-				h.called(d.pattern, r, x, time.Since(began))
+				c.called(d.pattern, r, x, time.Since(began))
 				send(w, x)
 			}
 			var body []byte
@@ -69,7 +69,7 @@
 			}
 			ctx, stop := context.WithTimeout(r.Context(), d.within)
 			defer stop()
-			answer(d.serve(h, ctx, r, body))
+			answer(d.serve(c, ctx, r, body))
 		})
 	}
 	return mux
@@ -90,64 +90,64 @@
 
 // beat takes a searcher's report. One that says it is leaving is acknowledged once most of the core knows. Out of contact
 // none is: the news would reach nobody, and the searcher is to turn to another machine.
-func (h *Controller) beat(ctx context.Context, r *http.Request, body []byte) reply {
+func (c *Controller) beat(ctx context.Context, r *http.Request, body []byte) reply {
 	s, why := readSearcher(body, r.PathValue("id"))
 	if why != "" {
 		return fault(http.StatusBadRequest, why)
 	}
 	var b registry.Beaten
-	h.board.With(func(r *registry.Registry) bool {
+	c.board.With(func(r *registry.Registry) bool {
 		b = r.Beat(time.Now(), s)
 		return b.News
 	})
 	if b.News {
-		h.log.Debug().Str("event", "searcher").Str("id", s.ID).Str("service", s.Plant).Str("state", s.State.String()).Msg("")
+		c.log.Debug().Str("event", "searcher").Str("id", s.ID).Str("service", s.Plant).Str("state", s.State.String()).Msg("")
 	}
 	if b.Refused {
 		return fault(http.StatusServiceUnavailable, "no room")
 	}
-	if !h.inContact() {
+	if !c.inContact() {
 		return fault(http.StatusServiceUnavailable, "out of touch with the core")
 	}
 	if s.State == registry.Draining {
-		if refusal, refused := h.refuseLeaving(ctx, s.ID, s.State, b); refused {
+		if refusal, refused := c.refuseLeaving(ctx, s.ID, s.State, b); refused {
 			return refusal
 		}
 	}
-	return reply{http.StatusOK, h.beatTarget(s.Zone)}
+	return reply{http.StatusOK, c.beatTarget(s.Zone)}
 }
 
 // beatTarget names a controller nearer to a searcher than this one, if one was heard from lately: beats cross zones at a
 // price.
-func (h *Controller) beatTarget(zone string) []byte {
-	best, far := "", h.set.Far(zone)
+func (c *Controller) beatTarget(zone string) []byte {
+	best, far := "", c.set.Far(zone)
 	if far == 0 {
 		return []byte("{}")
 	}
-	ips := h.fresh()
-	for _, p := range h.board.Core() {
+	ips := c.fresh()
+	for _, p := range c.board.Core() {
 		host, _, err := net.SplitHostPort(p.Addr)
-		if f := h.set.Between(p.Zone, zone); err == nil && f < far && ips[host] {
+		if f := c.set.Between(p.Zone, zone); err == nil && f < far && ips[host] {
 			best, far = host, f
 		}
 	}
 	if best == "" {
 		return []byte("{}")
 	}
-	_, port, _ := net.SplitHostPort(h.set.Control)
+	_, port, _ := net.SplitHostPort(c.set.Control)
 	return fmt.Appendf(nil, `{"beat-target":%q}`, net.JoinHostPort(best, port))
 }
 
-func (h *Controller) leave(ctx context.Context, r *http.Request, _ []byte) reply {
+func (c *Controller) leave(ctx context.Context, r *http.Request, _ []byte) reply {
 	var b registry.Beaten
 	if distribution.Reserved(r.PathValue("id")) {
 		return fault(http.StatusBadRequest, "id: not a searcher's")
 	}
-	h.board.With(func(ro *registry.Registry) bool {
+	c.board.With(func(ro *registry.Registry) bool {
 		b = ro.Leave(time.Now(), r.PathValue("id"))
 		return b.News
 	})
-	if refusal, refused := h.refuseLeaving(ctx, r.PathValue("id"), registry.Gone, b); refused {
+	if refusal, refused := c.refuseLeaving(ctx, r.PathValue("id"), registry.Gone, b); refused {
 		return refusal
 	}
 	return reply{http.StatusOK, []byte("{}")}
@@ -155,15 +155,15 @@
 
 // refuseLeaving tells why it can't be acknowledged that a searcher leaves; false if it can: the list has it so, and a
 // majority of the members holds that on disk.
-func (h *Controller) refuseLeaving(ctx context.Context, id string, leaves registry.State, b registry.Beaten) (reply, bool) {
+func (c *Controller) refuseLeaving(ctx context.Context, id string, leaves registry.State, b registry.Beaten) (reply, bool) {
 	if b.Refused || b.State < leaves {
 		// No room for it, or a late call: the searcher is known to be ready since.
 		return fault(http.StatusServiceUnavailable, "not recorded"), true
 	}
-	if !h.known(ctx, b.Vector()) {
+	if !c.known(ctx, b.Vector()) {
 		return fault(http.StatusServiceUnavailable, "too few of the core know"), true
 	}
-	h.board.With(func(r *registry.Registry) bool {
+	c.board.With(func(r *registry.Registry) bool {
 		e, held := r.Get(id)
 		invariant.Check(invariant.LeaveRecorded, held && e.State >= leaves, "searcher %s leaves as %v, listed: %v, as %v", id, leaves, held, e.State)
 		return false
@@ -199,25 +199,25 @@
 }
 
 // putConfig takes a whole configuration.
-func (h *Controller) putConfig(ctx context.Context, _ *http.Request, body []byte) reply {
+func (c *Controller) putConfig(ctx context.Context, _ *http.Request, body []byte) reply {
 	select {
-	case h.orders <- struct{}{}:
-		defer func() { <-h.orders }()
+	case c.orders <- struct{}{}:
+		defer func() { <-c.orders }()
 	default:
 		return fault(http.StatusServiceUnavailable, "too many configurations at once: send it again")
 	}
 	m, err := manifest.Parse(body)
 	if err != nil {
-		h.log.Warn().Str("event", "configuration-refused").Err(err).Msg("")
+		c.log.Warn().Str("event", "configuration-refused").Err(err).Msg("")
 		return fault(http.StatusBadRequest, err.Error())
 	}
-	h.taken.Store(m)
-	a, err := h.call(ctx, Call{Doc: consensus.Doc{Version: m.Version, Digest: xxh3.Hash(body), Body: manifest.Pack(body)}})
+	c.taken.Store(m)
+	a, err := c.call(ctx, Call{Doc: consensus.Doc{Version: m.Version, Digest: xxh3.Hash(body), Body: manifest.Pack(body)}})
 	switch {
 	case err == nil && a.Result == consensus.OK:
 		return reply{http.StatusOK, []byte("{}")}
 	case err == nil && a.Result == consensus.Conflict:
-		h.log.Warn().Str("event", "configuration-refused").Uint64("version", m.Version).Uint64("held", a.Doc.Version).Msg("")
+		c.log.Warn().Str("event", "configuration-refused").Uint64("version", m.Version).Uint64("held", a.Doc.Version).Msg("")
 		return conflict(m.Version, a.Doc.Version)
 	}
 	return fault(http.StatusServiceUnavailable, "not taken, or not known to be: send it again")
@@ -233,8 +233,8 @@
 }
 
 // getConfig gives the newest configuration, whole, as it was sent.
-func (h *Controller) getConfig(ctx context.Context, _ *http.Request, _ []byte) reply {
-	a, err := h.call(ctx, Call{Read: true})
+func (c *Controller) getConfig(ctx context.Context, _ *http.Request, _ []byte) reply {
+	a, err := c.call(ctx, Call{Read: true})
 	if err != nil || a.Result != consensus.OK {
 		return fault(http.StatusServiceUnavailable, "not known now: ask again")
 	}
--- a/controlplane/drains.go
+++ b/controlplane/drains.go
@@ -8,29 +8,29 @@
 )
 
 // keeps notes what news a controller's disk holds, by where it serves news.
-func (h *Controller) keeps(addr string, v registry.Vector) {
-	h.mu.Lock()
-	h.kept[addr] = v
-	h.mu.Unlock()
-	h.tellKept()
+func (c *Controller) keeps(addr string, v registry.Vector) {
+	c.mu.Lock()
+	c.kept[addr] = v
+	c.mu.Unlock()
+	c.tellKept()
 }
 
 // tellKept wakes those that wait for news to be on disks.
-func (h *Controller) tellKept() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	close(h.told)
-	h.told = make(chan struct{})
+func (c *Controller) tellKept() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.told)
+	c.told = make(chan struct{})
 }
 
 // known waits until a majority of the members holds on disk what v names. Then no cut, no loss within the tolerance and
 // no loss of all power makes a searcher that was told that it may leave come back as one that is ready.
-func (h *Controller) known(ctx context.Context, v registry.Vector) bool {
+func (c *Controller) known(ctx context.Context, v registry.Vector) bool {
 	for {
-		h.mu.Lock()
-		told := h.told
-		h.mu.Unlock()
-		if h.onDisks(v) || h.plant.DrainsInMemory {
+		c.mu.Lock()
+		told := c.told
+		c.mu.Unlock()
+		if c.onDisks(v) || c.plant.DrainsInMemory {
 			return true
 		}
 		select {
@@ -42,14 +42,14 @@
 }
 
 // onDisks tells whether a majority of the members holds on disk what v names.
-func (h *Controller) onDisks(v registry.Vector) bool {
-	e, own := h.core.members(), h.board.Kept()
-	h.mu.Lock()
-	defer h.mu.Unlock()
+func (c *Controller) onDisks(v registry.Vector) bool {
+	e, own := c.core.members(), c.board.Kept()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return quorumByIP(e, func(id consensus.ID, ip string) bool {
-		if ip == h.set.IP {
-			return id == h.core.node.ID() && own.Covers(v)
+		if ip == c.set.IP {
+			return id == c.core.node.ID() && own.Covers(v)
 		}
-		return h.kept[h.newsAddr(ip)].Covers(v)
+		return c.kept[c.newsAddr(ip)].Covers(v)
 	})
 }
--- a/controlplane/memory.go
+++ b/controlplane/memory.go
@@ -19,17 +19,17 @@
 )
 
 // recall takes over what an earlier life kept.
-func (h *Controller) recall() {
-	doc, entries := h.store.Remembered()
+func (c *Controller) recall() {
+	doc, entries := c.store.Remembered()
 	if doc != nil {
 		if m, err := open(doc.Body); err == nil {
-			h.board.Put(m)
-			h.recalled.Store(m.Version)
+			c.board.Put(m)
+			c.recalled.Store(m.Version)
 		} else {
-			h.log.Error().Str("event", "recall").Err(err).Msg("")
+			c.log.Error().Str("event", "recall").Err(err).Msg("")
 		}
 	}
-	h.board.With(func(r *registry.Registry) bool {
+	c.board.With(func(r *registry.Registry) bool {
 		r.Restore(time.Now(), entries)
 		return len(entries) > 0
 	})
@@ -74,13 +74,13 @@
 }
 
 // remember keeps what changes: at once where a searcher leaves, which its acknowledgement waits for, else now and then.
-func (h *Controller) remember(ctx context.Context) {
+func (c *Controller) remember(ctx context.Context) {
 	t := time.NewTicker(keepEvery)
 	defer t.Stop()
 	m := memory{want: registry.Want{Name: "disk"}}
 	for {
-		changed := h.board.Changed()
-		if !h.keep(ctx, &m) {
+		changed := c.board.Changed()
+		if !c.keep(ctx, &m) {
 			return
 		}
 		select {
@@ -93,10 +93,10 @@
 }
 
 // keep writes what is due; false when ctx has ended.
-func (h *Controller) keep(ctx context.Context, m *memory) bool {
+func (c *Controller) keep(ctx context.Context, m *memory) bool {
 	var d registry.Delta
 	var held registry.Vector
-	h.board.With(func(r *registry.Registry) bool {
+	c.board.With(func(r *registry.Registry) bool {
 		m.want.By = r.Name()
 		d, held = r.Since(m.want, entriesMost), r.Vector()
 		return false
@@ -108,20 +108,20 @@
 	if !m.waits && now.Sub(m.last) < keepEvery {
 		return true
 	}
-	doc := h.core.inForce.Load()
+	doc := c.core.inForce.Load()
 	newer := doc != nil && doc.Version != m.version
 	if len(entries) == 0 && !newer && !m.waits {
 		m.want.Cursor = d.Next
 		return true
 	}
 	forget := m.gone.over(now)
-	ok := h.core.do(ctx, func() error {
+	ok := c.core.do(ctx, func() error {
 		if newer {
-			if err := h.store.PutForce(*doc); err != nil {
+			if err := c.store.PutForce(*doc); err != nil {
 				return err
 			}
 		}
-		return h.store.PutSearchers(entries, forget)
+		return c.store.PutSearchers(entries, forget)
 	})
 	if !ok {
 		return false
@@ -133,19 +133,19 @@
 	}
 	if m.waits && !d.More {
 		m.waits = false
-		h.board.SetKept(held)
-		h.tellKept()
+		c.board.SetKept(held)
+		c.tellKept()
 	}
 	return true
 }
 
 // adopt minds the entries of controllers' lives that are over; the registry's lock is held. One that is alone can't tell whose
 // life is over from who is beyond the cut, and what it called silent then would be told to all after it.
-func (h *Controller) adopt(r *registry.Registry, alone bool) {
-	if time.Since(h.core.start) < 2*h.set.BeatPeriod {
+func (c *Controller) adopt(r *registry.Registry, alone bool) {
+	if time.Since(c.core.start) < 2*c.set.BeatPeriod {
 		return
 	}
-	live := h.lives()
+	live := c.lives()
 	for name := range r.Vector() {
 		if alone || live[name] {
 			r.Release(name)
@@ -156,11 +156,11 @@
 }
 
 // lives names the controllers' lives that aren't over, this one among them.
-func (h *Controller) lives() map[string]bool {
-	live := map[string]bool{h.life: true}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, p := range h.peers {
+func (c *Controller) lives() map[string]bool {
+	live := map[string]bool{c.life: true}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
 		if time.Since(p.at) < forgetAfter {
 			live[p.life] = true
 		}
--- a/controlplane/mixers.go
+++ b/controlplane/mixers.go
@@ -26,67 +26,67 @@
 }
 
 // pulled takes in an agent's ask.
-func (h *Controller) pulled(a *distribution.Ask) {
+func (c *Controller) pulled(a *distribution.Ask) {
 	if a.Mixer == nil || a.Life == "" || len(a.Life) > 256 {
 		return
 	}
 	now := time.Now()
 	m := distribution.Mixer{Life: a.Life, Zone: a.Mixer.Zone, Leaving: a.Mixer.Leaving, Calls: a.Mixer.Calls}
 	m.Addr, _ = netip.ParseAddrPort(a.Mixer.Addr)
-	h.mu.Lock()
-	h.judge.Pulled(now, a.Life, a.Mixer.Missed, a.Mixer.Seen)
-	f := h.fronts[a.Life]
+	c.mu.Lock()
+	c.judge.Pulled(now, a.Life, a.Mixer.Missed, a.Mixer.Seen)
+	f := c.fronts[a.Life]
 	if f == nil {
 		f = &front{node: a.Node}
-		h.fronts[a.Life] = f
+		c.fronts[a.Life] = f
 	}
 	f.at, f.version, f.calls = now, a.Version, max(f.calls, m.Calls)
-	h.mu.Unlock()
+	c.mu.Unlock()
 	var b registry.Beaten
-	h.board.With(func(r *registry.Registry) bool {
+	c.board.With(func(r *registry.Registry) bool {
 		b = r.Beat(now, m.Searcher())
 		return b.News
 	})
 	if b.News {
-		h.log.Debug().Str("event", "mixer").Str("life", a.Life).Bool("leaving", m.Leaving).Msg("")
+		c.log.Debug().Str("event", "mixer").Str("life", a.Life).Bool("leaving", m.Leaving).Msg("")
 	}
 }
 
 // say tells another controller of the mixers that pull here.
-func (h *Controller) say(a *distribution.Ask, _ bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if w := h.judge.Word(time.Now()); len(w.Missed)+len(w.Seen)+len(w.Unheard) > 0 {
+func (c *Controller) say(a *distribution.Ask, _ bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.judge.Word(time.Now()); len(w.Missed)+len(w.Seen)+len(w.Unheard) > 0 {
 		a.Word = &w
 	}
 }
 
 // mind gives a beat to mixers that fall to this controller and are to be taken for alive; the registry's lock is held. It
 // tells whether that made news.
-func (h *Controller) mind(r *registry.Registry, alone bool) (news bool) {
+func (c *Controller) mind(r *registry.Registry, alone bool) (news bool) {
 	now := time.Now()
-	live := h.lives()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if gen := r.Generation(); gen != h.nodesAt {
-		h.nodesAt = gen
-		h.know(r, h.listed(r))
+	live := c.lives()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if gen := r.Generation(); gen != c.nodesAt {
+		c.nodesAt = gen
+		c.know(r, c.listed(r))
 	}
 	var minded []failuredetector.Minded
-	for i := range h.nodes {
+	for i := range c.nodes {
 		// Whose it is may change without the list's doing so.
-		if m, ok := distribution.GetMixer(r, h.nodes[i].Life); !ok {
+		if m, ok := distribution.GetMixer(r, c.nodes[i].Life); !ok {
 			continue
-		} else if m.Source == h.life || !alone && !live[m.Source] {
+		} else if m.Source == c.life || !alone && !live[m.Source] {
 			minded = append(minded, failuredetector.Minded{Life: m.Life, Silent: m.Silent, Leaving: m.Leaving})
 		}
 	}
-	for _, life := range h.judge.Tick(now, minded) {
+	for _, life := range c.judge.Tick(now, minded) {
 		m, ok := distribution.GetMixer(r, life)
 		if !ok {
 			continue
 		}
-		f := h.fronts[life]
+		f := c.fronts[life]
 		if f != nil {
 			m.Calls = max(m.Calls, f.calls)
 		}
@@ -97,13 +97,13 @@
 		b := r.Beat(now, m.Searcher())
 		news = news || b.News
 		if m.Silent && b.News {
-			h.log.Info().Str("event", "mixer-lives").Str("life", life).Msg("")
+			c.log.Info().Str("event", "mixer-lives").Str("life", life).Msg("")
 		}
 	}
-	for life, f := range h.fronts {
+	for life, f := range c.fronts {
 		if time.Since(f.at) > forgetAfter {
 			if m, ok := distribution.GetMixer(r, life); !ok || m.Silent {
-				delete(h.fronts, life)
+				delete(c.fronts, life)
 			}
 		}
 	}
@@ -111,39 +111,39 @@
 }
 
 // know hands the judge a list that has changed, and notes who has fallen silent.
-func (h *Controller) know(r *registry.Registry, nodes []failuredetector.Node) {
+func (c *Controller) know(r *registry.Registry, nodes []failuredetector.Node) {
 	was := map[string]bool{}
-	for i := range h.nodes {
-		was[h.nodes[i].Life] = h.nodes[i].Silent
+	for i := range c.nodes {
+		was[c.nodes[i].Life] = c.nodes[i].Silent
 	}
 	for i := range nodes {
 		n := &nodes[i]
 		if !n.Silent || n.Leaving || was[n.Life] {
 			continue
 		}
-		if m, _ := distribution.GetMixer(r, n.Life); m.Source == h.life { // the others say what they were told
-			h.log.Info().Str("event", "mixer-silent").Str("life", n.Life).Msg("")
+		if m, _ := distribution.GetMixer(r, n.Life); m.Source == c.life { // the others say what they were told
+			c.log.Info().Str("event", "mixer-silent").Str("life", n.Life).Msg("")
 		}
 	}
-	h.nodes = nodes
-	h.judge.Know(nodes)
+	c.nodes = nodes
+	c.judge.Know(nodes)
 }
 
 // listed is the list of mixers as failuredetector takes it.
-func (h *Controller) listed(r *registry.Registry) []failuredetector.Node {
+func (c *Controller) listed(r *registry.Registry) []failuredetector.Node {
 	var nodes []failuredetector.Node
 	for m := range distribution.Mixers(r) {
-		nodes = append(nodes, failuredetector.Node{Life: m.Life, Addr: m.Addr, Zone: m.Zone, Region: h.set.Zones[m.Zone],
+		nodes = append(nodes, failuredetector.Node{Life: m.Life, Addr: m.Addr, Zone: m.Zone, Region: c.set.Zones[m.Zone],
 			Silent: m.Silent, Leaving: m.Leaving})
 	}
 	return nodes
 }
 
 // mixers tells how many mixers budgets reckon with, and which machines' are silent.
-func (h *Controller) mixers() (n int, silent []string) {
+func (c *Controller) mixers() (n int, silent []string) {
 	heard := map[string]bool{}
-	h.board.With(func(r *registry.Registry) bool {
-		n = distribution.CountMixers(r, h.set.RetryWindow)
+	c.board.With(func(r *registry.Registry) bool {
+		n = distribution.CountMixers(r, c.set.RetryWindow)
 		for m := range distribution.Mixers(r) {
 			if !m.Silent {
 				heard[m.Machine()] = true
@@ -158,24 +158,24 @@
 }
 
 // nodes tells of this machine, of the fronts whose agent pulls here, and of those that are silent.
-func (h *Controller) tellNodes(context.Context, *http.Request, []byte) reply {
-	list := []client.Node{{Node: h.set.Node, Role: client.Controller, Version: h.version()}}
-	h.mu.Lock()
+func (c *Controller) tellNodes(context.Context, *http.Request, []byte) reply {
+	list := []client.Node{{Node: c.set.Node, Role: client.Controller, Version: c.version()}}
+	c.mu.Lock()
 	latest := map[string]*front{}
-	for _, f := range h.fronts {
+	for _, f := range c.fronts {
 		if was := latest[f.node]; time.Since(f.at) <= forgetAfter && (was == nil || f.at.After(was.at)) {
 			latest[f.node] = f
 		}
 	}
 	for _, f := range latest {
 		list = append(list, client.Node{Node: f.node, Role: client.Front, Version: f.version,
-			HeardMs: time.Since(f.at).Milliseconds(), Via: h.set.Node})
+			HeardMs: time.Since(f.at).Milliseconds(), Via: c.set.Node})
 	}
-	h.mu.Unlock()
-	_, silent := h.mixers()
+	c.mu.Unlock()
+	_, silent := c.mixers()
 	for _, machine := range silent {
 		if latest[machine] == nil {
-			list = append(list, client.Node{Node: machine, Role: client.Front, HeardMs: silentFor.Milliseconds(), Via: h.set.Node,
+			list = append(list, client.Node{Node: machine, Role: client.Front, HeardMs: silentFor.Milliseconds(), Via: c.set.Node,
 				Fault: "silent"})
 		}
 	}
--- a/controlplane/sight.go
+++ b/controlplane/sight.go
@@ -44,8 +44,8 @@
 }
 
 // called notes an answer, and logs one that is a refusal or came late.
-func (h *Controller) called(pattern string, r *http.Request, answer reply, took time.Duration) {
-	s := &h.sight
+func (c *Controller) called(pattern string, r *http.Request, answer reply, took time.Duration) {
+	s := &c.sight
 	s.mu.Lock()
 	s.calls[answered{pattern, answer.status}]++
 	s.mu.Unlock()
@@ -57,9 +57,9 @@
 		return
 	}
 	const most = 300
-	h.log.Warn().Str("event", "call-refused").Str("call", pattern).Str("path", r.URL.Path[:min(len(r.URL.Path), most)]).
+	c.log.Warn().Str("event", "call-refused").Str("call", pattern).Str("path", r.URL.Path[:min(len(r.URL.Path), most)]).
 		Str("from", r.RemoteAddr).Int("status", answer.status).Int64("took-ms", took.Milliseconds()).
-		Bytes("answer", answer.body[:min(len(answer.body), most)]).Bool("contact", h.inContact()).Uint64("version", h.version()).
+		Bytes("answer", answer.body[:min(len(answer.body), most)]).Bool("contact", c.inContact()).Uint64("version", c.version()).
 		Int("not-logged", suppressed).Msg("")
 }
 
@@ -71,36 +71,36 @@
 }
 
 // figures tells how the controller stands among the others and what it answered.
-func (h *Controller) figures(emit figures.Emit) {
-	h.core.mu.Lock()
-	epoch, primary := h.core.epoch, h.core.primary
-	h.core.mu.Unlock()
+func (c *Controller) figures(emit figures.Emit) {
+	c.core.mu.Lock()
+	epoch, primary := c.core.epoch, c.core.primary
+	c.core.mu.Unlock()
 	emit("epoch", float64(epoch.N))
-	emit("epoch_changes_total", float64(h.sight.epochs.Load()))
+	emit("epoch_changes_total", float64(c.sight.epochs.Load()))
 	emit("members", float64(len(epoch.Members)))
-	emit("messages_of_other_systems_total", float64(h.sight.elsewhere.Load()))
+	emit("messages_of_other_systems_total", float64(c.sight.elsewhere.Load()))
 	emit("in_sync", float64(len(epoch.InSync)))
-	emit("is_primary", figures.Truth(primary != "" && primary == h.at(h.set.IP, portMail)))
-	emit("in_touch", figures.Truth(h.inTouch()))
-	emit("in_contact", figures.Truth(h.inContact()))
-	emit("contact_lapses_total", float64(h.sight.lapses.Load()))
-	emit("configuration_version", float64(h.version()))
-	emit("disk_syncs_total", float64(h.sight.syncs.Load()))
-	emit("disk_sync_faults_total", float64(h.sight.syncFaults.Load()))
-	emit("disk_sync_seconds_total", time.Duration(h.sight.syncNanos.Load()).Seconds())
-	emit("disk_sync_last_seconds", time.Duration(h.sight.lastSync.Load()).Seconds())
-	mixers, silent := h.mixers()
+	emit("is_primary", figures.Truth(primary != "" && primary == c.at(c.set.IP, portMail)))
+	emit("in_touch", figures.Truth(c.inTouch()))
+	emit("in_contact", figures.Truth(c.inContact()))
+	emit("contact_lapses_total", float64(c.sight.lapses.Load()))
+	emit("configuration_version", float64(c.version()))
+	emit("disk_syncs_total", float64(c.sight.syncs.Load()))
+	emit("disk_sync_faults_total", float64(c.sight.syncFaults.Load()))
+	emit("disk_sync_seconds_total", time.Duration(c.sight.syncNanos.Load()).Seconds())
+	emit("disk_sync_last_seconds", time.Duration(c.sight.lastSync.Load()).Seconds())
+	mixers, silent := c.mixers()
 	emit("mixers_known", float64(mixers))
 	emit("mixers_silent", float64(len(silent)))
-	h.mu.Lock()
-	emit("agents_pulling", float64(len(h.fronts)))
-	emit("controllers_pulling", float64(len(h.peers)))
-	emit("orders_in_hand", float64(len(h.orders)))
-	h.mu.Unlock()
-	distribution.EmitList(h.board, emit)
-	h.sight.mu.Lock()
-	defer h.sight.mu.Unlock()
-	for a, n := range h.sight.calls {
+	c.mu.Lock()
+	emit("agents_pulling", float64(len(c.fronts)))
+	emit("controllers_pulling", float64(len(c.peers)))
+	emit("orders_in_hand", float64(len(c.orders)))
+	c.mu.Unlock()
+	distribution.EmitList(c.board, emit)
+	c.sight.mu.Lock()
+	defer c.sight.mu.Unlock()
+	for a, n := range c.sight.calls {
 		emit("calls_total", float64(n), figures.Label{Name: "call", Value: a.call}, figures.Label{Name: "status", Value: strconv.Itoa(a.status)})
 	}
 }
--- a/controlplane/status.go
+++ b/controlplane/status.go
@@ -18,17 +18,17 @@
 	Member = client.Member
 )
 
-func (h *Controller) status(context.Context, *http.Request, []byte) reply {
-	h.core.mu.Lock()
-	e, primary := h.core.epoch, h.core.primary
-	h.core.mu.Unlock()
-	s := Status{Node: h.set.Node, ID: string(h.core.node.ID()), Zone: h.set.Zone, Epoch: e.N, Primary: primary,
-		Searchers: len(h.board.Entries()), Alone: !h.inContact(), Version: h.version()}
-	s.Mixers, s.SilentMixers = h.mixers()
+func (c *Controller) status(context.Context, *http.Request, []byte) reply {
+	c.core.mu.Lock()
+	e, primary := c.core.epoch, c.core.primary
+	c.core.mu.Unlock()
+	s := Status{Node: c.set.Node, ID: string(c.core.node.ID()), Zone: c.set.Zone, Epoch: e.N, Primary: primary,
+		Searchers: len(c.board.Entries()), Alone: !c.inContact(), Version: c.version()}
+	s.Mixers, s.SilentMixers = c.mixers()
 	for _, id := range e.InSync {
 		s.InSync = append(s.InSync, string(id))
 	}
-	_, port, _ := net.SplitHostPort(h.set.Control)
+	_, port, _ := net.SplitHostPort(c.set.Control)
 	for _, m := range e.Members {
 		x := Member{ID: string(m.ID), Address: m.Addr, Zone: m.Zone}
 		if host, _, err := net.SplitHostPort(m.Addr); err == nil {
@@ -40,18 +40,18 @@
 }
 
 // version is that of the configuration in force here, 0 before the first.
-func (h *Controller) version() uint64 {
-	if m := h.board.Document(); m != nil {
+func (c *Controller) version() uint64 {
+	if m := c.board.Document(); m != nil {
 		return m.Version
 	}
 	return 0
 }
 
 // searchers lists those known here, of one service if the query names it.
-func (h *Controller) searchers(_ context.Context, r *http.Request, _ []byte) reply {
+func (c *Controller) searchers(_ context.Context, r *http.Request, _ []byte) reply {
 	service := r.URL.Query().Get("service")
 	list := []client.Searcher{}
-	for _, e := range h.board.Entries() {
+	for _, e := range c.board.Entries() {
 		if service != "" && e.Plant != service {
 			continue
 		}
--- a/proxy/front.go
+++ b/proxy/front.go
@@ -20,37 +20,37 @@
 )
 
 // ServeHTTP takes one request of a client and gives it its one answer.
-func (q *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
 	h := w.Header()
 	h["Date"] = nil
-	if q.leaving.Load() || len(r.TransferEncoding) > 0 {
+	if p.leaving.Load() || len(r.TransferEncoding) > 0 {
 		// A request in chunks may have had a length too, which net/http drops without a word: by that length, what follows
 		// would be part of its body, so nothing may follow.
 		h.Set("Connection", "close")
 	}
-	doc := q.doc.Load()
+	doc := p.doc.Load()
 	if doc == nil {
-		q.turnedAway(r, http.StatusServiceUnavailable, "no configuration is known yet")
+		p.turnedAway(r, http.StatusServiceUnavailable, "no configuration is known yet")
 		refuse(w, 500*time.Millisecond)
 		return
 	}
 	if headSize(r) > max(doc.Limits.HeaderBytes, 16<<10) {
 		h.Set("Connection", "close")
-		q.turnedAway(r, http.StatusRequestHeaderFieldsTooLarge, "its head is too large")
+		p.turnedAway(r, http.StatusRequestHeaderFieldsTooLarge, "its head is too large")
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := doc.Route(r.Host, path)
 	if route == nil || path == "" || path[0] != '/' {
-		q.turnedAway(r, http.StatusNotFound, "no route for its host and path")
+		p.turnedAway(r, http.StatusNotFound, "no route for its host and path")
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	id := r.Header.Get(attemptID)
 	if id == "" {
-		q.turnedAway(r, http.StatusBadRequest, "it has no Attempt-Id")
+		p.turnedAway(r, http.StatusBadRequest, "it has no Attempt-Id")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -62,7 +62,7 @@
 	body, status := readBody(w, r, doc, t.until)
 	if status != 0 {
 		h.Set("Connection", "close")
-		q.turnedAway(r, status, "its body was cut off, malformed, too large or too late")
+		p.turnedAway(r, status, "its body was cut off, malformed, too large or too late")
 		w.WriteHeader(status)
 		return
 	}
@@ -75,12 +75,12 @@
 			t.Headers = append(t.Headers, upstream.Header{Name: name, Value: v})
 		}
 	}
-	f, ok := q.await(r, route, t)
+	f, ok := p.await(r, route, t)
 	if !ok {
-		q.sight.clientLeft()
+		p.sight.clientLeft()
 		return
 	}
-	q.explain(&failure{attempt: id, route: route.Name, version: doc.Version, took: time.Since(at), left: left}, f)
+	p.explain(&failure{attempt: id, route: route.Name, version: doc.Version, took: time.Since(at), left: left}, f)
 	answer(w, f)
 }
 
@@ -97,15 +97,15 @@
 }
 
 // await hands the request over and waits for its answer; false if the client left.
-func (q *Proxy) await(r *http.Request, route *manifest.Route, t *taken) (request.Final, bool) {
+func (p *Proxy) await(r *http.Request, route *manifest.Route, t *taken) (request.Final, bool) {
 	done := make(chan request.Final, 1)
-	req := &request.Request{Route: route, Until: t.until.Sub(q.start), Data: t, Done: func(f request.Final) { done <- f }}
-	q.do(func() { q.life.Begin(req) })
+	req := &request.Request{Route: route, Until: t.until.Sub(p.start), Data: t, Done: func(f request.Final) { done <- f }}
+	p.do(func() { p.life.Begin(req) })
 	select {
 	case f := <-done:
 		return f, true
 	case <-r.Context().Done():
-		q.do(func() { q.life.Leave(req) })
+		p.do(func() { p.life.Leave(req) })
 		return request.Final{}, false
 	}
 }
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -23,9 +23,9 @@
 )
 
 // limits are the bounds of the moment.
-func (q *Proxy) limits() (head, rest time.Duration) {
+func (p *Proxy) limits() (head, rest time.Duration) {
 	head, rest = headDefault, restDefault
-	if doc := q.doc.Load(); doc != nil {
+	if doc := p.doc.Load(); doc != nil {
 		if doc.Limits.HeaderTimeout > 0 {
 			head = doc.Limits.HeaderTimeout
 		}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -29,12 +29,12 @@
 const deadlineSlack = 200 * time.Millisecond
 
 // prepare makes a dispatch ready to be sent; the lock is held.
-func (q *Proxy) prepare(d *request.Dispatch) {
+func (p *Proxy) prepare(d *request.Dispatch) {
 	t := d.Request.Data.(*taken)
-	s := &sending{pool: q.pool(d.Host)}
+	s := &sending{pool: p.pool(d.Host)}
 	s.call.Request = t.Request
 	s.call.Target = d.Host.ID
-	s.call.Deadline = q.start.Add(d.Until)
+	s.call.Deadline = p.start.Add(d.Until)
 	s.call.ToldDeadline = t.until
 	if over := s.call.Deadline.Sub(t.until); over > deadlineSlack {
 		invariant.Violated(invariant.DeadlineWithinClients, "searcher %s: %v past the client's", d.Host.ID, over)
@@ -42,19 +42,19 @@
 	d.Call = s
 }
 
-func (q *Proxy) pool(h *request.Host) *upstream.Pool {
-	p := q.pools[h.ID]
-	if p == nil {
+func (p *Proxy) pool(h *request.Host) *upstream.Pool {
+	pool := p.pools[h.ID]
+	if pool == nil {
 		o := upstream.Options{}
-		if m := q.doc.Load(); m != nil {
+		if m := p.doc.Load(); m != nil {
 			if pl := m.Plants[h.Service]; pl != nil && pl.ConnLimit > 0 {
-				o.ConnMost = connShare(pl.ConnLimit, q.mixers)
+				o.ConnMost = connShare(pl.ConnLimit, p.mixers)
 			}
 		}
-		p = upstream.NewPool(h.Address, o)
-		q.pools[h.ID] = p
+		pool = upstream.NewPool(h.Address, o)
+		p.pools[h.ID] = pool
 	}
-	return p
+	return pool
 }
 
 const (
@@ -72,19 +72,19 @@
 }
 
 // send carries a dispatch to its end.
-func (q *Proxy) send(d *request.Dispatch) {
+func (p *Proxy) send(d *request.Dispatch) {
 	s := d.Call.(*sending)
 	a := s.pool.Do(&s.call)
 	out := outcome(&a, d)
 	if a.Outcome != upstream.Answered {
-		q.log.Debug().Str("event", "sent").Str("searcher", s.call.Target).Str("outcome", a.Outcome.String()).Int("status", a.Status).
+		p.log.Debug().Str("event", "sent").Str("searcher", s.call.Target).Str("outcome", a.Outcome.String()).Int("status", a.Status).
 			Err(a.Err).Msg("")
 	}
-	q.do(func() {
+	p.do(func() {
 		if a.Outcome == upstream.NotExecuted && a.Status == http.StatusMisdirectedRequest {
-			q.life.Gone(d.Host.ID)
+			p.life.Gone(d.Host.ID)
 		}
-		q.life.Returned(d, out, reply(&a))
+		p.life.Returned(d, out, reply(&a))
 	})
 }
 
--- a/proxy/sight.go
+++ b/proxy/sight.go
@@ -54,14 +54,14 @@
 }
 
 // explain logs why a request was refused or has failed, and what was tried.
-func (q *Proxy) explain(r *failure, f request.Final) {
+func (p *Proxy) explain(r *failure, f request.Final) {
 	if f.Kind != request.Refused && f.Kind != request.Failed {
 		return
 	}
-	if n := q.sight.failed[f.Reason]; n != nil {
+	if n := p.sight.failed[f.Reason]; n != nil {
 		n.Add(1)
 	}
-	ok, suppressed := q.sight.lines.Allow(time.Now())
+	ok, suppressed := p.sight.lines.Allow(time.Now())
 	if !ok {
 		return
 	}
@@ -69,24 +69,24 @@
 	if f.Kind == request.Failed {
 		status = failedStatus(f)
 	}
-	q.log.Warn().Str("event", "request-failed").Str("attempt-id", r.attempt).Int("status", status).Str("reason", string(f.Reason)).
+	p.log.Warn().Str("event", "request-failed").Str("attempt-id", r.attempt).Int("status", status).Str("reason", string(f.Reason)).
 		Str("route", r.route).Uint64("version", r.version).Int64("age-ms", r.took.Milliseconds()).
 		Int64("deadline-ms", r.left.Milliseconds()).Str("tries", describeTries(f.Tries)).Int("not-logged", suppressed).Msg("")
 }
 
 // turnedAway logs a request that was never taken.
-func (q *Proxy) turnedAway(r *http.Request, status int, reason string) {
-	q.sight.turnedAway.Add(1)
-	ok, suppressed := q.sight.lines.Allow(time.Now())
+func (p *Proxy) turnedAway(r *http.Request, status int, reason string) {
+	p.sight.turnedAway.Add(1)
+	ok, suppressed := p.sight.lines.Allow(time.Now())
 	if !ok {
 		return
 	}
 	version := uint64(0)
-	if doc := q.doc.Load(); doc != nil {
+	if doc := p.doc.Load(); doc != nil {
 		version = doc.Version
 	}
 	const most = 200
-	q.log.Warn().Str("event", "request-failed").Str("attempt-id", r.Header.Get(attemptID)).Int("status", status).Str("reason", reason).
+	p.log.Warn().Str("event", "request-failed").Str("attempt-id", r.Header.Get(attemptID)).Int("status", status).Str("reason", reason).
 		Str("host", r.Host[:min(len(r.Host), most)]).Str("path", r.RequestURI[:min(len(r.RequestURI), most)]).
 		Uint64("version", version).Int("not-logged", suppressed).Msg("")
 }
@@ -128,16 +128,16 @@
 }
 
 // figures tells what the proxy has done and what it goes by.
-func (q *Proxy) figures(emit figures.Emit) {
-	now := q.now()
-	q.mu.Lock()
-	c, inHand, pools, listed, mixers, hosts := q.life.Counts, q.life.InHand(), len(q.pools), q.listed, q.mixers, len(q.hosts)
+func (p *Proxy) figures(emit figures.Emit) {
+	now := p.now()
+	p.mu.Lock()
+	c, inHand, pools, listed, mixers, hosts := p.life.Counts, p.life.InHand(), len(p.pools), p.listed, p.mixers, len(p.hosts)
 	open, idle := 0, 0
-	for _, p := range q.pools {
-		open += p.Open()
-		idle += p.Idle()
+	for _, pool := range p.pools {
+		open += pool.Open()
+		idle += pool.Idle()
 	}
-	q.mu.Unlock()
+	p.mu.Unlock()
 	outcome := func(name string, n int) {
 		emit("requests_total", float64(n), figures.Label{Name: "outcome", Value: name})
 	}
@@ -149,10 +149,10 @@
 	emit("requests_partial_total", float64(c.Partial))
 	emit("requests_taken_total", float64(c.Taken))
 	emit("requests_in_hand", float64(inHand))
-	emit("requests_turned_away_total", float64(q.sight.turnedAway.Load()))
-	emit("clients_left_total", float64(q.sight.gone.Load()))
-	emit("decision_restarts_total", float64(q.sight.restarts.Load()))
-	for reason, n := range q.sight.failed {
+	emit("requests_turned_away_total", float64(p.sight.turnedAway.Load()))
+	emit("clients_left_total", float64(p.sight.gone.Load()))
+	emit("decision_restarts_total", float64(p.sight.restarts.Load()))
+	for reason, n := range p.sight.failed {
 		emit("requests_unanswered_total", float64(n.Load()), figures.Label{Name: "reason", Value: string(reason)})
 	}
 	emit("dispatches_total", float64(c.Sent))
@@ -166,11 +166,11 @@
 	emit("searchers_listed", float64(hosts))
 	emit("list_complete", figures.Truth(listed))
 	emit("mixers_known", float64(mixers))
-	emit("leaving", figures.Truth(q.leaving.Load()))
-	emit("agent_answer_age_seconds", age(now, q.sight.toldAt.Load()))
-	if doc := q.doc.Load(); doc != nil {
+	emit("leaving", figures.Truth(p.leaving.Load()))
+	emit("agent_answer_age_seconds", age(now, p.sight.toldAt.Load()))
+	if doc := p.doc.Load(); doc != nil {
 		emit("configuration_version", float64(doc.Version))
-		emit("configuration_age_seconds", age(now, q.sight.configuredAt.Load()))
+		emit("configuration_age_seconds", age(now, p.sight.configuredAt.Load()))
 	}
 }
 
