--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -32,9 +32,9 @@
 
 // inflict does one trouble and returns once it is over and what it struck runs again.
 func (r *run) inflict(t Trouble) {
-	who := r.strikes(t)
+	in := &inflicted{kind: t.Kind, process: r.oneOf(t.One).Name, strikes: r.strikes(t)}
 	r.mu.Lock()
-	in := &inflicted{kind: t.Kind, process: r.oneOf(t.One).Name, from: time.Now(), strikes: who}
+	in.from = time.Now()
 	r.inflicted = append(r.inflicted, in)
 	r.mu.Unlock()
 	r.note("begin %v", t)
