--- a/proxy/sight.go
+++ b/proxy/sight.go
@@ -12,12 +12,18 @@
 	"peathollow/request"
 )
 
-// failureLines is how many failed requests a second get a line in the log; the rest are counted.
-const failureLines = 20
+const (
+	// failureLines is how many failed requests a second get a line in the log; the rest are counted.
+	failureLines = 20
+	// reasonLines is how many of each reason get one beside these: a storm of one reason hides no other.
+	reasonLines = 2
+)
 
 // sight is what the proxy keeps only so that others can see afterwards what it did.
 type sight struct {
-	lines *logbound.Limiter
+	lines     *logbound.Limiter                    // of all
+	reasons   map[request.Reason]*logbound.Limiter // of each reason, beside
+	awayLines *logbound.Limiter                    // the same of requests that were never taken
 
 	failed        map[request.Reason]*atomic.Uint64 // requests refused or failed
 	turnedAway    atomic.Uint64                     // requests that were never taken
@@ -29,14 +35,27 @@
 }
 
 func newSight() *sight {
-	s := &sight{lines: &logbound.Limiter{PerSecond: failureLines}, failed: map[request.Reason]*atomic.Uint64{}}
+	s := &sight{lines: &logbound.Limiter{PerSecond: failureLines}, awayLines: &logbound.Limiter{PerSecond: reasonLines},
+		reasons: map[request.Reason]*logbound.Limiter{}, failed: map[request.Reason]*atomic.Uint64{}}
 	for _, reason := range []request.Reason{request.NoSearcher, request.TurnedAway, request.BudgetSpent, request.NotAdmitted, request.TimeOver,
 		request.MayHaveRun, request.NoTryLeft, request.ProcessFailed} {
 		s.failed[reason] = &atomic.Uint64{}
+		s.reasons[reason] = &logbound.Limiter{PerSecond: reasonLines}
 	}
 	return s
 }
 
+// line tells whether a failure gets a line, and how many did not since the last one of all; own is the bound of its reason.
+func (s *sight) line(own *logbound.Limiter) (ok bool, suppressed int) {
+	now := time.Now()
+	if own != nil {
+		if ok, _ := own.Allow(now); ok {
+			return true, 0
+		}
+	}
+	return s.lines.Allow(now)
+}
+
 func (s *sight) told(now time.Duration) { s.toldAt.Store(int64(now)) }
 
 func (s *sight) configured(now time.Duration) {
@@ -61,7 +80,7 @@
 	if n := p.sight.failed[f.Reason]; n != nil {
 		n.Add(1)
 	}
-	ok, suppressed := p.sight.lines.Allow(time.Now())
+	ok, suppressed := p.sight.line(p.sight.reasons[f.Reason])
 	if !ok {
 		return
 	}
@@ -77,7 +96,7 @@
 // turnedAway logs a request that was never taken.
 func (p *Proxy) turnedAway(r *http.Request, status int, reason string) {
 	p.sight.turnedAway.Add(1)
-	ok, suppressed := p.sight.lines.Allow(time.Now())
+	ok, suppressed := p.sight.line(p.sight.awayLines)
 	if !ok {
 		return
 	}
--- a/proxy/sight_test.go
+++ b/proxy/sight_test.go
@@ -68,5 +68,7 @@
 	lines := r.Log.With("request-failed")
 	must.Positive(t, len(lines))
 	must.Less(t, storm/2, len(lines))
+	a := r.Do(rig.Request{Path: "/", Host: "other.example"}) // for another reason
+	must.Len(t, 1, r.Log.With("request-failed", a.Of.ID))
 	must.Eq(t, storm, figure(t, r, `requests_unanswered_total{reason="no searcher of a service it needs is listed"}`))
 }
