--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -54,6 +54,17 @@
 // once tells whether the request may run only once.
 func (t *try) once() bool { return t.kind == single }
 
+// services are those that a try is to reach.
+func (t *try) services() (names []string) {
+	if t.kind != "fan" {
+		return []string{single}
+	}
+	for i := range shards {
+		names = append(names, shard(i))
+	}
+	return names
+}
+
 // request is what one client wants, in as many tries as it takes.
 type request struct {
 	number int
