--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -91,8 +91,8 @@
 
 var rigs atomic.Int32
 
-// Start starts a proxy that has news of nothing but the version and searchers told later.
-func Start(t testing.TB, grace time.Duration) *Rig {
+// Start starts a proxy that has news of nothing but the version and searchers told later; change alters its settings.
+func Start(t testing.TB, grace time.Duration, change ...func(*settings.Settings)) *Rig {
 	t.Helper()
 	r := &Rig{t: t, Log: &Log{}, Ledger: &rude.Ledger{}, Limits: Limits{16384, 4096, 3000, 15000}, news: make(chan struct{}),
 		services: map[string]string{}, sent: map[string]*Request{}, replies: map[string][]reply{}}
@@ -123,7 +123,10 @@
 		r.Front, r.Ready, r.Figures = ip+":8080", ip+":8081", "http://"+ip+":8082/metrics"
 		s := &settings.Settings{Node: "front-0", Role: "proxy", IP: ip, Metrics: figures.Address{Port: 8082, Path: "/metrics"}, Front: r.Front, Readiness: r.Ready, Zone: "z",
 			Zones: map[string]string{"z": "r"}, PortFirst: feed.Addr().(*net.TCPAddr).Port - 2, BeatPeriod: time.Second, Grace: grace,
-			RetryRatio: 1, RetrySlack: 1e6, RetryWindow: 10 * time.Second}
+			RetryRatio: 1, RetrySlack: 1e6, RetryWindow: 10 * time.Second, FileLimit: 4096}
+		for _, f := range change {
+			f(s)
+		}
 		r.ended = make(chan error, 1)
 		q := proxy.New(s, fmt.Sprint("proxy-", n), &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: r.Log}})
 		go func(to chan error) { to <- q.Run(ctx) }(r.ended)
