--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -18,6 +18,7 @@
 	"peathollow/consensus"
 	"peathollow/distribution"
 	"peathollow/failuredetector"
+	"peathollow/internal/connlimit"
 	"peathollow/internal/figures"
 	"peathollow/internal/keepalive"
 	"peathollow/internal/logbound"
@@ -193,7 +194,9 @@
 		}
 	})
 	doors := newServer(c.doors())
-	go func() { ended <- errors.Wrap(doors.Serve(lns[3]), "serve, control") }()
+	callers := connlimit.New(c.set.CallersMost())
+	callers.Bind(doors)
+	go func() { ended <- errors.Wrap(doors.Serve(callers.Listen(lns[3])), "serve, control") }()
 	c.log.Info().Str("event", "serving").Str("control", c.set.Control).Msg("")
 	select {
 	case err := <-ended:
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"peathollow/brain"
 	"peathollow/distribution"
+	"peathollow/internal/connlimit"
 	"peathollow/internal/figures"
 	"peathollow/internal/invariant"
 	"peathollow/internal/keepalive"
@@ -49,6 +50,7 @@
 	hosts   []request.Host
 	leaving atomic.Bool
 	sight   *sight
+	callers *connlimit.Limit
 	plant   func(request.Step, []string) // a fault that a test plants in what decides
 }
 
@@ -56,7 +58,7 @@
 func New(s *settings.Settings, life string, l *log.Logger) *Proxy {
 	now := time.Now()
 	p := &Proxy{set: s, name: life, log: l, start: now, pools: map[string]*upstream.Pool{},
-		sight: newSight(), board: distribution.NewBoard(registry.New(registry.Config{Name: life, Relay: true, Period: s.BeatPeriod, Start: now}))}
+		sight: newSight(), callers: connlimit.New(s.CallersMost()), board: distribution.NewBoard(registry.New(registry.Config{Name: life, Relay: true, Period: s.BeatPeriod, Start: now}))}
 	p.life = p.newLife(nil)
 	p.clock = time.AfterFunc(time.Hour, p.due)
 	p.clock.Stop()
@@ -95,7 +97,8 @@
 	fs := &http.Server{Handler: p, ReadHeaderTimeout: headSign, IdleTimeout: restSign, MaxHeaderBytes: headMost,
 		DisableGeneralOptionsHandler: true}
 	ended := make(chan error, 1)
-	go func() { ended <- fs.Serve(limitedListener{front, p.limits}) }()
+	p.callers.Bind(fs)
+	go func() { ended <- fs.Serve(limitedListener{p.callers.Listen(front), p.limits}) }()
 	p.log.Info().Str("event", "serving").Str("front", p.set.Front).Msg("")
 	tally := time.NewTicker(10 * time.Second)
 	defer tally.Stop()
--- a/proxy/sight.go
+++ b/proxy/sight.go
@@ -157,6 +157,10 @@
 		idle += pool.Idle()
 	}
 	p.mu.Unlock()
+	clients, evicted, refused := p.callers.Counts()
+	emit("client_connections_open", float64(clients))
+	emit("client_connections_evicted_total", float64(evicted))
+	emit("client_connections_refused_total", float64(refused))
 	outcome := func(name string, n int) {
 		emit("requests_total", float64(n), figures.Label{Name: "outcome", Value: name})
 	}
