Sight: the retry budget by service, searchers whose address is another's

Cause: four lines of the incident's record name the budget and none tells how it stood: a gathered request that lacks a part for want of budget leaves no line, and no figure goes by service. Now at each proxy by service: requests counted, further dispatches charged, counting and allowed, parts starved, 421s, time to their end; N and the part of the slack; a line when a service's budget is found exhausted, with what the account went by, and one for each 421. Nothing is decided otherwise.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -229,7 +229,9 @@
 // do hands the request an event and carries out what comes of it.
 func (p *Proxy) do(event func()) {
 	var buf [8]request.Act
-	for _, a := range p.step(event, buf[:0]) {
+	acts, exhausted := p.step(event, buf[:0])
+	p.explainExhausted(exhausted)
+	for _, a := range acts {
 		switch {
 		case a.Dispatch.Call == nil: // a fault came before it was made ready, and has ended its request
 		case a.Cancel:
@@ -240,7 +242,8 @@
 	}
 }
 
-func (p *Proxy) step(event func(), into []request.Act) (acts []request.Act) {
+// step hands over an event under the lock. It gives what is to be done, and the services whose retry budget was found exhausted.
+func (p *Proxy) step(event func(), into []request.Act) (acts []request.Act, exhausted []retrybudget.Exhausted) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// Each by itself: a fault in what is due must not lose the event.
@@ -256,7 +259,7 @@
 		}
 	})
 	p.arm()
-	return append(acts, faults...)
+	return append(acts, faults...), p.life.Book().TakeExhausted()
 }
 
 // guard has something decided, and gives what a fault in it wants called off.
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -80,8 +80,13 @@
 		p.log.Debug().Str("event", "sent").Str("searcher", s.call.Target).Str("outcome", a.Outcome.String()).Int("status", a.Status).
 			Err(a.Err).Msg("")
 	}
+	misdirected := a.Outcome == upstream.NotExecuted && a.Status == http.StatusMisdirectedRequest
+	if misdirected {
+		p.misdirected(d.Host)
+	}
 	p.do(func() {
-		if a.Outcome == upstream.NotExecuted && a.Status == http.StatusMisdirectedRequest {
+		if misdirected {
+			p.life.Book().Misdirected(p.now(), d.Host.Service)
 			p.life.Gone(d.Host.ID)
 		}
 		p.life.Returned(d, out, reply(&a))
--- a/proxy/sight.go
+++ b/proxy/sight.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"peathollow/brain"
-	"peathollow/internal/figures"
 	"peathollow/internal/logbound"
 	"peathollow/request"
 )
@@ -24,6 +23,8 @@
 	lines     *logbound.Limiter                    // of all
 	reasons   map[request.Reason]*logbound.Limiter // of each reason, beside
 	awayLines *logbound.Limiter                    // the same of requests that were never taken
+	strays    *logbound.Limiter                    // of searchers whose address is another's
+	exhausted *logbound.Limiter                    // of services whose retry budget is exhausted
 
 	failed        map[request.Reason]*atomic.Uint64 // requests refused or failed
 	turnedAway    atomic.Uint64                     // requests that were never taken
@@ -36,6 +37,7 @@
 
 func newSight() *sight {
 	s := &sight{lines: &logbound.Limiter{PerSecond: failureLines}, awayLines: &logbound.Limiter{PerSecond: reasonLines},
+		strays: &logbound.Limiter{PerSecond: reasonLines}, exhausted: &logbound.Limiter{PerSecond: reasonLines},
 		reasons: map[request.Reason]*logbound.Limiter{}, failed: map[request.Reason]*atomic.Uint64{}}
 	for _, reason := range []request.Reason{request.NoSearcher, request.TurnedAway, request.BudgetSpent, request.NotAdmitted, request.TimeOver,
 		request.MayHaveRun, request.NoTryLeft, request.ProcessFailed} {
@@ -145,62 +147,3 @@
 	}
 	return "unknown"
 }
-
-// figures tells what the proxy has done and what it goes by.
-func (p *Proxy) figures(emit figures.Emit) {
-	now := p.now()
-	p.mu.Lock()
-	c, inHand, pools, listed, mixers, hosts := p.life.Counts, p.life.InHand(), len(p.pools), p.listed, p.mixers, len(p.hosts)
-	open, idle := 0, 0
-	for _, pool := range p.pools {
-		open += pool.Open()
-		idle += pool.Idle()
-	}
-	p.mu.Unlock()
-	clients, evicted, refused := p.callers.Counts()
-	emit("client_connections_open", float64(clients))
-	emit("client_connections_evicted_total", float64(evicted))
-	emit("client_connections_refused_total", float64(refused))
-	outcome := func(name string, n int) {
-		emit("requests_total", float64(n), figures.Label{Name: "outcome", Value: name})
-	}
-	outcome("relayed", c.Relayed)
-	outcome("gathered", c.Gathered)
-	outcome("refused", c.Refused)
-	outcome("failed", c.Failed)
-	outcome("client_left", c.Left)
-	emit("requests_partial_total", float64(c.Partial))
-	emit("requests_taken_total", float64(c.Taken))
-	emit("requests_in_hand", float64(inHand))
-	emit("requests_turned_away_total", float64(p.sight.turnedAway.Load()))
-	emit("clients_left_total", float64(p.sight.gone.Load()))
-	emit("decision_restarts_total", float64(p.sight.restarts.Load()))
-	for reason, n := range p.sight.failed {
-		emit("requests_unanswered_total", float64(n.Load()), figures.Label{Name: "reason", Value: string(reason)})
-	}
-	emit("dispatches_total", float64(c.Sent))
-	emit("dispatches_further_total", float64(c.Further))
-	for o, n := range c.Outcomes {
-		emit("dispatch_outcomes_total", float64(n), figures.Label{Name: "outcome", Value: outcomeName(brain.Outcome(o))})
-	}
-	emit("pools", float64(pools))
-	emit("connections_open", float64(open))
-	emit("connections_idle", float64(idle))
-	emit("searchers_listed", float64(hosts))
-	emit("list_complete", figures.Truth(listed))
-	emit("mixers_known", float64(mixers))
-	emit("leaving", figures.Truth(p.leaving.Load()))
-	emit("agent_answer_age_seconds", age(now, p.sight.toldAt.Load()))
-	if doc := p.doc.Load(); doc != nil {
-		emit("configuration_version", float64(doc.Version))
-		emit("configuration_age_seconds", age(now, p.sight.configuredAt.Load()))
-	}
-}
-
-// age is how many seconds ago something was, -1 if it never was.
-func age(now time.Duration, at int64) float64 {
-	if at == 0 {
-		return -1
-	}
-	return (now - time.Duration(at)).Seconds()
-}
--- a/proxy/sight_test.go
+++ b/proxy/sight_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"peathollow/internal/invariant"
+	"peathollow/internal/settings"
 	"peathollow/internal/standin/rig"
 	"peathollow/internal/standin/rude"
 )
@@ -72,3 +73,39 @@
 	must.Len(t, 1, r.Log.With("request-failed", a.Of.ID))
 	must.Eq(t, storm, figure(t, r, `requests_unanswered_total{reason="no searcher of a service it needs is listed"}`))
 }
+
+// TestBudgetIsTold: who looks at a proxy alone can tell how the retry budget of each service stands, what was refused for want of it,
+// also where the answer went out without the part, and which searchers' addresses are another's.
+func TestBudgetIsTold(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief, func(s *settings.Settings) { s.RetryRatio, s.RetrySlack = 0, 2 }) // one further dispatch in each life
+	for range 2 {
+		r.Searcher("bad", rude.Options{Script: func(rude.Call) rude.Reply { return rude.Reply{Status: http.StatusInternalServerError} }})
+	}
+	r.Searcher("good", rude.Options{})
+	first := r.Searcher("moved", rude.Options{})
+	half := 0.5
+	r.Put(rig.Route{Name: "all", Prefix: "/all/", FanOut: []string{"bad", "good"}, Coverage: &half, Retries: 2, TopK: 3},
+		rig.Route{Name: "moved", Prefix: "/moved/", Plant: "moved", Retries: 2})
+	const requests = 3
+	for range requests {
+		must.Eq(t, http.StatusOK, r.Do(rig.Request{Path: "/all/"}).Status)
+	}
+	must.Eq(t, requests, figure(t, r, `retry_budget_requests_total{service="bad"}`))
+	must.Eq(t, 1, figure(t, r, `retry_budget_charged_total{service="bad"}`))
+	must.Eq(t, 1, figure(t, r, `retry_budget_ended_total{service="bad"}`))
+	must.Eq(t, 1, figure(t, r, `retry_budget_counting{service="bad"}`))
+	must.Eq(t, 1, figure(t, r, `retry_budget_room{service="bad"}`))
+	must.Eq(t, requests-1, figure(t, r, `retry_budget_starved_total{service="bad"}`))
+	must.Eq(t, 0, figure(t, r, `retry_budget_starved_total{service="good"}`))
+	must.Eq(t, 1, figure(t, r, "retry_budget_mixers"))
+	must.Eq(t, 0, figure(t, r, "retry_budget_slack_spent"))
+	must.Len(t, 1, r.Log.With("retry-budget-exhausted", `"service":"bad"`, `"counting":1`), must.Sprint(r.Log.With("retry-budget")))
+
+	first.Close()
+	r.Searcher("other", rude.Options{Addr: first.Addr()})
+	r.Sync()
+	r.Do(rig.Request{Path: "/moved/", DeadlineMs: 500})
+	must.Eq(t, 1, figure(t, r, `retry_budget_misdirected_total{service="moved"}`))
+	must.Len(t, 1, r.Log.With("misdirected", first.ID()), must.Sprint(r.Log.With("misdirected")))
+}
--- a/request/explain.go
+++ b/request/explain.go
@@ -50,14 +50,20 @@
 // starved tells whether a part of it may have gone again but for the retry budget.
 func (r *Request) starved() bool {
 	for _, p := range r.parts {
-		left := len(p.tries) < max(1, r.Route.Retries) && (r.Route.Idempotent || !p.mayHaveRun())
-		if p.reply == nil && len(p.tries) > 0 && left && !r.group.l.book.Room(r.group.l.now, p.service) {
+		if p.isStarved(r.group.l) {
 			return true
 		}
 	}
 	return false
 }
 
+// isStarved tells whether the part has no answer and may have gone again but for the retry budget.
+func (p *part) isStarved(l *Life) bool {
+	route := p.req.Route
+	left := len(p.tries) < max(1, route.Retries) && (route.Idempotent || !p.mayHaveRun())
+	return p.reply == nil && len(p.tries) > 0 && left && !l.book.Room(l.now, p.service)
+}
+
 // isOver tells whether the time of a request is over, or so nearly that it ends for that.
 func (l *Life) isOver(r *Request) bool { return l.now >= r.Until-4*granularity }
 
--- a/request/life.go
+++ b/request/life.go
@@ -181,6 +181,9 @@
 	}
 	d.out, d.outcome, d.took = false, out, l.now-d.at-(l.paused-d.paused)
 	l.Counts.Outcomes[out]++
+	if d.no > 0 {
+		l.book.Ended(l.now, d.part.service, l.now-d.at)
+	}
 	if r := d.Request; !r.ended && reply != nil {
 		switch {
 		case out == brain.Pass && d.part.reply == nil:
@@ -213,6 +216,11 @@
 	}
 	r.ended = true
 	delete(l.reqs, r.id)
+	for _, p := range r.parts {
+		if p.isStarved(l) {
+			l.book.Starved(l.now, p.service)
+		}
+	}
 	switch f.Kind {
 	case Relayed:
 		l.Counts.Relayed++
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -33,12 +33,14 @@
 	mixers     int
 	slackSpent bool // by earlier lives of this mixer
 	of         map[string]*account
+	exhausted  []Exhausted
 }
 
 type account struct {
 	asked tally
 	spent sliding.Window
 	used  time.Duration
+	seen  counts
 }
 
 // New makes the book of a mixer that has just started.
@@ -61,6 +63,7 @@
 func (b *Book) Asked(now time.Duration, service string) {
 	if a := b.account(now, service); a != nil {
 		a.asked.add(now, b.terms.Window)
+		a.seen.requests++
 	}
 }
 
@@ -70,17 +73,29 @@
 	if a == nil || b.terms.Window <= 0 {
 		return a != nil
 	}
+	room := b.room(now, a)
+	spent := a.spent.High(now, b.terms.Window)
+	if float64(spent+1) <= room {
+		return true
+	}
+	b.noteExhausted(now, service, a, spent, room)
+	return false
+}
+
+// room is how many further dispatches may count at the moment.
+func (b *Book) room(now time.Duration, a *account) float64 {
 	room := spareShare * b.terms.Ratio * float64(a.asked.least(now, b.terms.Window))
 	if !b.slackSpent {
 		room += b.terms.Slack / float64(lives*b.mixers)
 	}
-	return float64(a.spent.High(now, b.terms.Window)+1) <= room
+	return room
 }
 
 // Spend counts a further dispatch.
 func (b *Book) Spend(now time.Duration, service string) {
 	if a := b.account(now, service); a != nil {
 		a.spent.Add(now, b.terms.Window)
+		a.seen.charged++
 	}
 }
 
--- a/retrybudget/tally.go
+++ b/retrybudget/tally.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	slices = 32 // of a window
-	kept   = 2*slices + 1
+	sliceCount = 32 // of a window
+	kept       = 2*sliceCount + 1
 )
 
 // tally counts the requests of the last two windows, in slices.
@@ -14,7 +14,7 @@
 }
 
 func (t *tally) turn(now, window time.Duration) {
-	at := int64(now) / max(1, int64(window)/slices)
+	at := int64(now) / max(1, int64(window)/sliceCount)
 	if at-t.last >= kept {
 		t.n = [kept]int{}
 		t.last = at
@@ -47,10 +47,10 @@
 		return upto[to] - upto[from]
 	}
 	low := upto[kept]
-	for ahead := range slices + 1 { // the window ends so many slices from now
+	for ahead := range sliceCount + 1 { // the window ends so many slices from now
 		end := kept + ahead
-		low = min(low, max(between(end-slices-1, end), between(end-slices*3/2-1, end-slices/2-1),
-			between(end-2*slices-1, end-slices-1)))
+		low = min(low, max(between(end-sliceCount-1, end), between(end-sliceCount*3/2-1, end-sliceCount/2-1),
+			between(end-2*sliceCount-1, end-sliceCount-1)))
 	}
 	return low
 }
