--- a/proxy/order_test.go
+++ b/proxy/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -188,3 +189,28 @@
 	}
 	r.Judge()
 }
+
+// TestRequestsReachNobodyElse: a request for a searcher whose address has gone to another service's is not sent there, so that it is no
+// arrival beyond what that service's requests allow; the code before found out by sending it, one request or more from each proxy.
+func TestRequestsReachNobodyElse(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief)
+	first := r.Searcher("s", rude.Options{})
+	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "idempotent", Retries: 2}, rig.Route{Name: "g", Prefix: "/g/", FanOut: []string{"s", "other"}, TopK: 3})
+	must.Eq(t, 200, r.Do(rig.Request{Path: "/"}).Status)
+	first.Close()
+	other := r.Searcher("other", rude.Options{Addr: first.Addr()})
+	r.Sync()
+	for range 3 {
+		must.Eq(t, http.StatusServiceUnavailable, r.Do(rig.Request{Path: "/", DeadlineMs: 500}).Status)
+	}
+	for _, e := range r.Ledger.Entries() {
+		must.True(t, e.ID == "" || e.Searcher != other.ID(), must.Sprintf("%+v", e))
+	}
+	gathered := r.Do(rig.Request{Path: "/g/", DeadlineMs: 500}) // its own part is all that reaches the other service
+	must.LessEq(t, 1, r.Ledger.Arrived(gathered.Of.ID))
+	r.Searcher("s", rude.Options{})
+	r.Sync()
+	must.Eq(t, 200, r.Do(rig.Request{Path: "/"}).Status)
+	r.Judge()
+}
--- a/retrybudget/retrybudget_test.go
+++ b/retrybudget/retrybudget_test.go
@@ -29,7 +29,9 @@
 	return j - i
 }
 
-func (j *judged) worst() (excess float64, when time.Duration) {
+func (j *judged) worst() (excess float64, when time.Duration) { return j.worstBy(terms) }
+
+func (j *judged) worstBy(terms retrybudget.Terms) (excess float64, when time.Duration) {
 	slices.Sort(j.asked)
 	slices.Sort(j.extra)
 	excess = -1e9
