--- a/internal/standin/rude/server.go
+++ b/internal/standin/rude/server.go
@@ -43,6 +43,7 @@
 	waiting   int
 	open      map[*peer]struct{}
 	closed    bool
+	thawed    chan struct{} // closed when it goes on; nil: it does not stand still
 }
 
 // peer is one connection.
@@ -159,6 +160,40 @@
 	s.all.Wait()
 }
 
+// Freeze has it stand still, like a process that was stopped: its kernel goes on taking connections and bytes, and it reads and says
+// nothing until Thaw. What its callers have given up by then it reads all the same.
+func (s *Server) Freeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.thawed == nil {
+		s.thawed = make(chan struct{})
+	}
+}
+
+// Thaw lets it go on.
+func (s *Server) Thaw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.thawed != nil {
+		close(s.thawed)
+		s.thawed = nil
+	}
+}
+
+// run waits while the server stands still.
+func (s *Server) run() {
+	s.mu.Lock()
+	thawed := s.thawed
+	s.mu.Unlock()
+	if thawed == nil {
+		return
+	}
+	select {
+	case <-thawed:
+	case <-s.done:
+	}
+}
+
 func (p *peer) end(reset bool) {
 	if reset {
 		p.SetLinger(0)
@@ -172,6 +207,7 @@
 		if err != nil {
 			return
 		}
+		s.run()
 		p := &peer{TCPConn: c.(*net.TCPConn), in: bufio.NewReader(c), idle: true}
 		s.mu.Lock()
 		s.accepted++
@@ -203,6 +239,7 @@
 		if err != nil {
 			return
 		}
+		s.run() // the bytes that were taken just now count as read when it goes on
 		p.nth++
 		c.Conn, c.Nth = conn, p.nth
 		s.mu.Lock()
@@ -234,6 +271,7 @@
 	s.mu.Lock()
 	p.idle = true
 	s.mu.Unlock()
+	s.run()
 	_, err := p.Write(b)
 	return err == nil
 }
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -20,6 +20,7 @@
 	sent     time.Time
 	acked    time.Time // zero: not yet, or never
 	conflict bool      // another one was taken under its version
+	set      int       // of the shards that it names
 }
 
 // operators send configurations, some under one version, and read back what is in force.
@@ -31,6 +32,7 @@
 	orders   []*order
 	versions []uint64
 	highest  uint64 // acknowledged
+	set      int    // of shards, in use by the orders to come
 }
 
 const (
@@ -72,7 +74,8 @@
 	}
 	o.versions = append(o.versions, version)
 	for variant := range n {
-		d := &order{version: version, body: configuration(version, o.versions, variant), sent: time.Now()}
+		d := &order{version: version, set: o.set, sent: time.Now(),
+			body: o.run.schedule.Shape.configuration(version, o.versions, variant, o.set)}
 		o.orders = append(o.orders, d)
 		drafts = append(drafts, d)
 	}
@@ -84,6 +87,31 @@
 	o.put(ctx, o.draft(1)[0])
 }
 
+// reshard has the gathered route go to the other set of shards.
+func (o *operators) reshard(ctx context.Context) {
+	o.mu.Lock()
+	o.set = (o.set + 1) % sets
+	o.mu.Unlock()
+	o.change(ctx)
+}
+
+// setsAt tells which sets of shards a configuration named that may have been in force at some time.
+func (o *operators) setsAt(at time.Time) (in [sets]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, d := range o.orders {
+		switch {
+		case d.conflict || d.sent.After(at):
+		case d.acked.IsZero() || d.acked.After(at.Add(-applyTime)):
+			in[d.set] = true
+		default: // it is in force, and all before it are not
+			in = [sets]bool{}
+			in[d.set] = true
+		}
+	}
+	return in
+}
+
 // race has operators send different configurations under one version.
 func (o *operators) race(ctx context.Context) {
 	var all sync.WaitGroup
