--- a/internal/upstream/identity.go
+++ b/internal/upstream/identity.go
@@ -1,15 +1,16 @@
 package upstream
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
 // An address goes to another searcher some time after the one that had it has ended, and a request that is sent there is read by somebody
-// whom it was not meant for. So a new connection carries no request until its other end is known: by an answer that the searcher gave
-// to this mixer shortly before, over whichever connection, as an address rests for a while before it is given away; else by what
-// it says of itself when it is probed. A connection that was made to the searcher stays one to it for as long as it lasts.
+// whom it was not meant for. So where nobody vouches for the searcher (Call.Vouched), a new connection carries no request until its other
+// end is known: by an answer that the searcher gave to this mixer shortly before, over whichever connection, as an address rests for a
+// while before it is given away; else by what it says of itself when it is probed. A connection that was made to the searcher stays one to it for as long as it lasts.
 
 // errNotShown is why a call was not sent: who is at the other end of its connection could not be made out.
 var errNotShown = errors.New("the other end did not say who it is")
@@ -19,7 +20,7 @@
 
 // isKnown tells whether the searcher is known to be at the other end of a connection.
 func (p *Pool) isKnown(c *conn, call *Call) bool {
-	if c.shown || p.opts.ProbePath == "" || call.Target == "" {
+	if c.shown || call.Vouched || p.opts.ProbePath == "" || call.Target == "" {
 		return true
 	}
 	p.mu.Lock()
@@ -55,9 +56,34 @@
 	isOther                    // another one, or nobody that answers: the call ends as the answer says
 )
 
+// ProbeCounts counts how often searchers were probed, and why, for all pools that share it.
+type ProbeCounts struct {
+	First atomic.Uint64 // nothing was heard of the searcher yet
+	Old   atomic.Uint64 // its last answer was too old
+	Took  atomic.Int64  // nanoseconds, of all
+}
+
+// count notes a probe.
+func (p *Pool) count(took time.Duration) {
+	counts := p.opts.Probes
+	if counts == nil {
+		return
+	}
+	p.mu.Lock()
+	first := p.sign.IsZero()
+	p.mu.Unlock()
+	if first {
+		counts.First.Add(1)
+	} else {
+		counts.Old.Add(1)
+	}
+	counts.Took.Add(int64(took))
+}
+
 // identify probes a connection on which the call is attached. Where it is of no use, it is closed or laid by.
 func (p *Pool) identify(c *conn, call *Call, now time.Time) (identity, Answer) {
 	a, reuse := p.probe(c, call, now)
+	p.count(time.Since(now))
 	switch {
 	case a.SearcherID == call.Target:
 		p.noteSign(c, now)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,6 +23,8 @@
 	SilenceMost time.Duration
 	// ProbePath is where the searcher says who it is; see identity.go. If empty, nobody is asked.
 	ProbePath string
+	// Probes counts probes, if not nil.
+	Probes *ProbeCounts
 	// VouchFor is how long an answer of the searcher vouches for its address; 0: not at all.
 	VouchFor time.Duration
 	// KeepAlive is how long a connection is silent before the kernel asks whether its peer is there; 2 s, negative:
@@ -93,6 +95,9 @@
 		if c == nil && err == nil {
 			if c, err = p.dial(call, now); err != nil {
 				p.lose(nil)
+				a := p.unsent(call, err)
+				a.Unreachable = a.Outcome == NoConnect
+				return a
 			}
 			now = time.Now()
 		}
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -64,6 +64,7 @@
 	NotExecuted bool // the Not-Executed header was there, believed or not
 	RetryAfter  time.Duration
 	Wrote       bool          // at least one byte of the request was handed to the kernel
+	Unreachable bool          // no connection to the address came about
 	Fresh       bool          // went over a new connection, or would have
 	Idle        time.Duration // how long the connection had lain idle
 	Err         error         // nil for Answered and NotExecuted
@@ -86,6 +87,8 @@
 	// ToldDeadline goes out in Deadline-Ms as what is left of it at the moment of writing; none if zero. Once it has
 	// passed, nothing is written.
 	ToldDeadline time.Time
+	// Vouched says that the searcher may be taken to be at its address; see identity.go.
+	Vouched bool
 
 	mu        sync.Mutex
 	cancelled bool
--- a/proxy/figures.go
+++ b/proxy/figures.go
@@ -47,6 +47,9 @@
 		emit("dispatch_outcomes_total", float64(n), figures.Label{Name: "outcome", Value: outcomeName(brain.Outcome(o))})
 	}
 	emit("pools", float64(pools))
+	emit("identity_probes_total", float64(p.probes.First.Load()), figures.Label{Name: "reason", Value: "first"})
+	emit("identity_probes_total", float64(p.probes.Old.Load()), figures.Label{Name: "reason", Value: "old"})
+	emit("identity_probe_seconds_total", time.Duration(p.probes.Took.Load()).Seconds())
 	emit("connections_open", float64(open))
 	emit("connections_idle", float64(idle))
 	emit("searchers_listed", float64(hosts))
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -50,6 +50,7 @@
 	hosts   []request.Host
 	leaving atomic.Bool
 	sight   *sight
+	probes  upstream.ProbeCounts
 	callers *connlimit.Limit
 	plant   func(request.Step, []string) // a fault that a test plants in what decides
 }
@@ -306,5 +307,6 @@
 	p.mu.Unlock()
 	p.log.Info().Str("event", "tally").Int("taken", c.Taken).Int("relayed", c.Relayed).Int("gathered", c.Gathered).
 		Int("partial", c.Partial).Int("refused", c.Refused).Int("failed", c.Failed).Int("left", c.Left).
-		Int("sent", c.Sent).Int("further", c.Further).Int("in-hand", n).Ints("outcomes", c.Outcomes[:]).Ints("far", c.Far[:]).Msg("")
+		Int("sent", c.Sent).Int("further", c.Further).Int("in-hand", n).Ints("outcomes", c.Outcomes[:]).Ints("far", c.Far[:]).
+		Uint64("probes-first", p.probes.First.Load()).Uint64("probes-old", p.probes.Old.Load()).Int64("probes-took-ms", p.probes.Took.Load()/int64(time.Millisecond)).Msg("")
 }
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -34,6 +34,7 @@
 	s := &sending{pool: p.pool(d.Host)}
 	s.call.Request = t.Request
 	s.call.Target = d.Host.ID
+	s.call.Vouched = d.Vouched
 	s.call.Deadline = p.start.Add(d.Until)
 	s.call.ToldDeadline = t.until
 	if over := s.call.Deadline.Sub(t.until); over > deadlineSlack {
@@ -45,7 +46,7 @@
 func (p *Proxy) pool(h *request.Host) *upstream.Pool {
 	pool := p.pools[h.ID]
 	if pool == nil {
-		o := upstream.Options{VouchFor: p.set.ReuseDelay * vouchShare / 4}
+		o := upstream.Options{VouchFor: p.set.ReuseDelay * vouchShare / 4, Probes: &p.probes}
 		if m := p.doc.Load(); m != nil {
 			if pl := m.Plants[h.Service]; pl != nil {
 				o.ProbePath = pl.ProbePath
@@ -91,7 +92,10 @@
 	}
 	p.do(func() {
 		if a.Misdirected() {
-			p.life.Misdirected(d.Host)
+			p.life.Misdirected(d.Host, a.Wrote)
+		}
+		if a.Unreachable {
+			p.life.Unreachable(d.Host)
 		}
 		p.life.Returned(d, out, reading(&a), reply(&a))
 	})
--- a/request/group.go
+++ b/request/group.go
@@ -172,7 +172,7 @@
 	l, h := p.g.l, p.g.byIndex[index]
 	pt := l.parts[id]
 	l.checkDispatch(pt, h)
-	d := &Dispatch{Request: pt.req, Host: h.Host, Until: until, part: pt, no: len(pt.tries), at: l.now, paused: l.paused, out: true, host: h}
+	d := &Dispatch{Request: pt.req, Host: h.Host, Until: until, Vouched: l.vouches(h.Host), part: pt, no: len(pt.tries), at: l.now, paused: l.paused, out: true, host: h}
 	pt.tries = append(pt.tries, d)
 	h.out++
 	l.Counts.Sent++
--- a/request/life.go
+++ b/request/life.go
@@ -35,16 +35,19 @@
 	groups map[string]*group
 	hosts  map[string]*Host // by id
 	astray map[string]misdirection
-	parts  map[uint64]*part
-	reqs   map[uint64]*Request
-	ids    uint64
-	timers timers
-	ranOn  time.Duration // when the process last went on after it had not run for a while
-	paused time.Duration // for how long it has not run, in all
-	over   bool          // after Abandon
-	inside *group        // whose module is deciding
-	acts   []Act
-	Counts Counts
+	doubts doubts
+	// addresses counts the listed searchers at each.
+	addresses map[string]int
+	parts     map[uint64]*part
+	reqs      map[uint64]*Request
+	ids       uint64
+	timers    timers
+	ranOn     time.Duration // when the process last went on after it had not run for a while
+	paused    time.Duration // for how long it has not run, in all
+	over      bool          // after Abandon
+	inside    *group        // whose module is deciding
+	acts      []Act
+	Counts    Counts
 }
 
 // New makes the life of a mixer that has nothing in hand.
@@ -53,7 +56,7 @@
 		t.Book = retrybudget.New(t.Budget)
 	}
 	return &Life{terms: t, now: now, dice: rand.New(rand.NewPCG(t.Seed, 0)), book: t.Book,
-		groups: map[string]*group{}, hosts: map[string]*Host{}, astray: map[string]misdirection{}, parts: map[uint64]*part{}, reqs: map[uint64]*Request{}}
+		groups: map[string]*group{}, hosts: map[string]*Host{}, astray: map[string]misdirection{}, doubts: doubts{at: map[string]time.Duration{}}, parts: map[uint64]*part{}, reqs: map[uint64]*Request{}}
 }
 
 // Book is the account of the retry budget, for a life that follows.
--- a/request/list.go
+++ b/request/list.go
@@ -22,6 +22,9 @@
 			l.hosts[h.ID] = &h
 			changed = append(changed, &h)
 		} else if *was != h {
+			if h.Silent && !was.Silent {
+				l.doubts.note(l.now, h.ID)
+			}
 			*was = h
 			changed = append(changed, was)
 		}
@@ -33,6 +36,7 @@
 			delete(l.hosts, id)
 		}
 	}
+	l.countAddresses()
 	maps.DeleteFunc(l.astray, func(id string, _ misdirection) bool { return !seen[id] })
 	if len(changed) > 0 {
 		l.tell(changed)
@@ -58,9 +62,14 @@
 	return false
 }
 
-// Misdirected tells that a searcher's address is another's, by its own word. It gets nothing more until it is heard of again.
-func (l *Life) Misdirected(h *Host) {
+// Misdirected tells that a searcher's address is another's, by its own word, and whether that one has read a dispatch. The searcher gets
+// nothing more until it is heard of again.
+func (l *Life) Misdirected(h *Host, read bool) {
 	l.book.Misdirected(l.now, h.Service)
+	if read {
+		l.book.Stray(l.now)
+	}
+	l.doubts.note(l.now, h.ID)
 	listed := l.hosts[h.ID]
 	if listed == nil {
 		return
--- a/request/misdirected_test.go
+++ b/request/misdirected_test.go
@@ -19,7 +19,7 @@
 	route := &manifest.Route{Plant: "s", Idempotent: true, Horizon: time.Second, Setpoint: 200 * ms, Retries: 1}
 	gone, other := Host{ID: "i1", Address: "a", Service: "s", State: brain.Ready}, Host{ID: "i2", Address: "b", Service: "s", State: brain.Ready}
 	l.List([]Host{gone, other})
-	l.Misdirected(&gone)
+	l.Misdirected(&gone, false)
 	now := time.Duration(0)
 	sent := func() (ids []string) {
 		for range 20 {
--- a/request/starved_test.go
+++ b/request/starved_test.go
@@ -59,7 +59,7 @@
 	l.Begin(&Request{Route: route, Until: route.Horizon, Done: func(f Final) { final, at = &f, now }})
 	for final == nil {
 		for _, a := range l.Take(nil) {
-			l.Misdirected(a.Dispatch.Host)
+			l.Misdirected(a.Dispatch.Host, true)
 			l.Returned(a.Dispatch, brain.NoRoute, WasRead, nil)
 		}
 		now, _ = l.Next()
--- a/request/types.go
+++ b/request/types.go
@@ -94,6 +94,7 @@
 	Request *Request
 	Host    *Host
 	Until   time.Duration // by the request's clock
+	Vouched bool          // nothing speaks against the address of the searcher; else who is there is to be made out first
 	Call    any           // the caller's
 
 	part   *part
--- a/request/world_test.go
+++ b/request/world_test.go
@@ -249,7 +249,7 @@
 	}
 	if out == brain.NoRoute && w.r.IntN(2) == 0 { // another has its address
 		w.gone[d.Host.ID] = w.now + astrayFor
-		w.l.Misdirected(d.Host)
+		w.l.Misdirected(d.Host, true)
 	}
 	w.l.Returned(d, out, w.reading(out), reply)
 	if w.r.IntN(20) == 0 {
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -40,6 +40,7 @@
 	mixers     int
 	slackSpent bool // by earlier lives of this mixer
 	of         map[string]*account
+	strays     sliding.Window // dispatches that were read by another service's searcher; which service's is not known
 	exhausted  []Exhausted
 }
 
@@ -95,9 +96,13 @@
 	return false
 }
 
+// Stray notes that a dispatch was read by a searcher of another service than it was meant for. Any service may be that one, so it counts for
+// all of them.
+func (b *Book) Stray(now time.Duration) { b.strays.Add(now, b.terms.Window) }
+
 // counting is how many charges count at the moment.
 func (b *Book) counting(now time.Duration, a *account) int {
-	return a.open + a.read.High(now, b.terms.Window) + a.lost.High(now, b.lostSpan())
+	return b.strays.High(now, b.terms.Window) + a.open + a.read.High(now, b.terms.Window) + a.lost.High(now, b.lostSpan())
 }
 
 // lostSpan is for how long after it was given up a dispatch counts: it may be read late, and counts for a window then.
