Elsewhere of the same class: connections by the count of mixers of the moment, lives by how long their sends count, connecting and probing in one time

Lives of proxies and silent mixers shared the slack for one window; what they sent may count for two now. A probe and its dial have one connect time together: what is sent follows what was known when it was decided. A life after a fault knows whose addresses are others'.

--- a/agent/proxylives.go
+++ b/agent/proxylives.go
@@ -7,19 +7,19 @@
 	"peathollow/distribution"
 )
 
-// proxyLives counts the lives of the proxy beside this agent. The retry budget allows for two lives of a mixer in one window,
+// proxyLives counts the lives of the proxy beside this agent. The retry budget allows for two lives of a mixer while what they sent counts,
 // and the list of mixers shows only those of agents: a proxy that is started again alone must not have the slack of the
-// budget anew. An agent that is younger than a window can't know of a life before it, and allows for one.
+// budget anew. An agent that is younger than that can't know of a life before it, and allows for one.
 type proxyLives struct {
-	window time.Duration
-	start  time.Time
+	countsFor time.Duration // what a life has sent
+	start     time.Time
 
 	mu    sync.Mutex
 	heard map[string]time.Time // when each life last asked
 }
 
-func newProxyLives(window time.Duration, start time.Time) *proxyLives {
-	return &proxyLives{window: window, start: start, heard: map[string]time.Time{}}
+func newProxyLives(countsFor time.Duration, start time.Time) *proxyLives {
+	return &proxyLives{countsFor: countsFor, start: start, heard: map[string]time.Time{}}
 }
 
 // livesKept bounds the lives that are remembered.
@@ -42,12 +42,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for life, at := range l.heard {
-		if now.Sub(at) > l.window {
+		if now.Sub(at) > l.countsFor {
 			delete(l.heard, life)
 		}
 	}
 	allowed := 2
-	if now.Sub(l.start) < l.window {
+	if now.Sub(l.start) < l.countsFor {
 		allowed = 1
 	}
 	return len(l.heard) > allowed
--- a/controlplane/mixers.go
+++ b/controlplane/mixers.go
@@ -12,6 +12,7 @@
 	"peathollow/distribution"
 	"peathollow/failuredetector"
 	"peathollow/registry"
+	"peathollow/retrybudget"
 )
 
 // A controller is a first-hand source of which mixers there are, as it is of searchers: an agent's pull is a beat. Those
@@ -143,7 +144,7 @@
 func (c *Controller) mixers() (n int, silent []string) {
 	heard := map[string]bool{}
 	c.board.With(func(r *registry.Registry) bool {
-		n = distribution.CountMixers(r, c.set.RetryWindow)
+		n = distribution.CountMixers(r, retrybudget.CountsFor(c.set.RetryWindow))
 		for m := range distribution.Mixers(r) {
 			if !m.Silent {
 				heard[m.Machine()] = true
--- a/distribution/mixers.go
+++ b/distribution/mixers.go
@@ -82,15 +82,15 @@
 }
 
 // CountMixers tells for how many mixers the budgets must do, 0 while that isn't known. What was spent by one that has
-// fallen silent counts until the window has passed since. A machine counts once for every two of its lives: retrybudget
+// fallen silent counts for some time since. A machine counts once for every two of its lives: retrybudget
 // reckons with two for each mixer.
-func CountMixers(r *registry.Registry, window time.Duration) int {
+func CountMixers(r *registry.Registry, countsFor time.Duration) int {
 	if !r.Complete() {
 		return 0
 	}
 	lives := map[string]int{}
 	for m := range Mixers(r) {
-		if !m.Silent || m.Age < window {
+		if !m.Silent || m.Age < countsFor {
 			lives[m.Machine()]++
 		}
 	}
--- a/internal/upstream/identity.go
+++ b/internal/upstream/identity.go
@@ -20,11 +20,14 @@
 
 // isKnown tells whether the searcher is known to be at the other end of a connection.
 func (p *Pool) isKnown(c *conn, call *Call) bool {
-	if c.shown || call.Vouched || p.opts.ProbePath == "" || call.Target == "" {
+	if c.shown || call.Vouched || call.Target == "" {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.opts.ProbePath == "" {
+		return true
+	}
 	c.shown = !p.sign.IsZero() && c.dialed.Sub(p.sign) < p.opts.VouchFor
 	return c.shown
 }
@@ -80,9 +83,12 @@
 	counts.Took.Add(int64(took))
 }
 
-// identify probes a connection on which the call is attached. Where it is of no use, it is closed or laid by.
-func (p *Pool) identify(c *conn, call *Call, now time.Time) (identity, Answer) {
-	a, reuse := p.probe(c, call, now)
+// identify probes a connection on which the call is attached, till some time at the latest. Where it is of no use, it is closed or laid by.
+func (p *Pool) identify(c *conn, call *Call, now, until time.Time) (identity, Answer) {
+	p.mu.Lock()
+	path := p.opts.ProbePath
+	p.mu.Unlock()
+	a, reuse := p.probe(c, path, now, until)
 	p.count(time.Since(now))
 	switch {
 	case a.SearcherID == call.Target:
@@ -111,12 +117,8 @@
 }
 
 // probe asks who is at the other end.
-func (p *Pool) probe(c *conn, call *Call, now time.Time) (a Answer, reuse bool) {
-	until := now.Add(p.opts.ConnectTimeout)
-	if !call.Deadline.IsZero() && call.Deadline.Before(until) {
-		until = call.Deadline
-	}
-	probe := Call{Request: Request{Method: "GET", Path: p.opts.ProbePath}, Deadline: until}
+func (p *Pool) probe(c *conn, path string, now, until time.Time) (a Answer, reuse bool) {
+	probe := Call{Request: Request{Method: "GET", Path: path}, Deadline: until}
 	sc := scratches.Get().(*scratch)
 	defer sc.free()
 	var err error
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,6 +32,8 @@
 	KeepAlive time.Duration
 }
 
+const connMostUsual = 64
+
 func orElse[T int | time.Duration](v *T, d T) {
 	if *v == 0 {
 		*v = d
@@ -41,7 +43,7 @@
 // Pool holds the connections to one searcher's address.
 type Pool struct {
 	addr   string
-	opts   Options
+	opts   Options // ConnMost and ProbePath may change, under mu
 	dialer net.Dialer
 
 	mu     sync.Mutex
@@ -56,7 +58,7 @@
 
 // NewPool makes a pool that dials nothing yet. The address is an IP number with a port.
 func NewPool(addr string, o Options) *Pool {
-	orElse(&o.ConnMost, 64)
+	orElse(&o.ConnMost, connMostUsual)
 	orElse(&o.ConnectTimeout, time.Second)
 	orElse(&o.IdleMost, 10*time.Second)
 	orElse(&o.BodyMost, 1<<20)
@@ -90,10 +92,11 @@
 	if !call.ToldDeadline.IsZero() && call.ToldDeadline.Sub(now) < time.Millisecond {
 		return p.unsent(call, errToldPassed) // not worth a connection
 	}
+	connected := p.connectBy(call, now) // what is sent follows what was known when it was decided
 	for probes := 0; ; {
 		c, err := p.take(now)
 		if c == nil && err == nil {
-			if c, err = p.dial(call, now); err != nil {
+			if c, err = p.dial(call, connected); err != nil {
 				p.lose(nil)
 				a := p.unsent(call, err)
 				a.Unreachable = a.Outcome == NoConnect
@@ -113,7 +116,7 @@
 				p.lose(c)
 				return p.unsent(call, errNotShown)
 			}
-			who, a := p.identify(c, call, now)
+			who, a := p.identify(c, call, now, connected)
 			now = time.Now()
 			switch who {
 			case isOther:
@@ -185,11 +188,16 @@
 	return nil, nil
 }
 
-func (p *Pool) dial(call *Call, now time.Time) (*conn, error) {
+// connectBy is until when a call's connection has to be there, and its other end known.
+func (p *Pool) connectBy(call *Call, now time.Time) time.Time {
 	until := now.Add(p.opts.ConnectTimeout)
 	if !call.Deadline.IsZero() && call.Deadline.Before(until) {
-		until = call.Deadline
+		return call.Deadline
 	}
+	return until
+}
+
+func (p *Pool) dial(call *Call, until time.Time) (*conn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	if !call.attach(cancel) {
@@ -297,6 +305,15 @@
 	p.Retire()
 }
 
+// Follow changes the bound on connections and the path of probes, from the next call on; 0 is the default bound. What is open above the
+// bound stays open till its end.
+func (p *Pool) Follow(connMost int, probePath string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opts.ConnMost, p.opts.ProbePath = connMost, probePath
+	orElse(&p.opts.ConnMost, connMostUsual)
+}
+
 // Idle tells how many connections lie idle.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -66,10 +66,10 @@
 	return p
 }
 
-// newLife starts what decides, on the retry budget's account of a life before if there was one.
-func (p *Proxy) newLife(book *retrybudget.Book) *request.Life {
+// newLife starts what decides, with what must not be forgotten of a life before if there was one.
+func (p *Proxy) newLife(before *request.Life) *request.Life {
 	return request.New(request.Terms{Seed: uint64(time.Now().UnixNano()),
-		Book: book, Plant: p.plant, Budget: retrybudget.Terms{Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Window: p.set.RetryWindow}}, p.now())
+		Before: before, Plant: p.plant, Budget: retrybudget.Terms{Ratio: p.set.RetryRatio, Slack: p.set.RetrySlack, Window: p.set.RetryWindow}}, p.now())
 }
 
 // AgentPort is where an agent feeds the proxy beside it, over loopback.
@@ -179,6 +179,7 @@
 	p.sight.told(p.now())
 	spent := p.board.SlackSpent()
 	p.do(func() {
+		follow := n != p.mixers || doc != was
 		p.mixers = n
 		p.life.Mixers(n)
 		p.life.Book().SlackSpent(spent)
@@ -186,6 +187,9 @@
 			p.gen = gen
 			p.list(entries)
 		}
+		if follow {
+			p.followPools()
+		}
 		p.listed = p.listed || whole
 	})
 }
@@ -285,7 +289,7 @@
 		return acts
 	}
 	old := p.life
-	p.life, p.armed = p.newLife(old.Book()), 0
+	p.life, p.armed = p.newLife(old), 0
 	p.life.Mixers(p.mixers)
 	p.life.List(p.hosts)
 	return old.Abandon()
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -47,20 +47,36 @@
 	pool := p.pools[h.ID]
 	if pool == nil {
 		o := upstream.Options{VouchFor: p.set.ReuseDelay * vouchShare / 4, Probes: &p.probes}
-		if m := p.doc.Load(); m != nil {
-			if pl := m.Plants[h.Service]; pl != nil {
-				o.ProbePath = pl.ProbePath
-				if pl.ConnLimit > 0 {
-					o.ConnMost = connShare(pl.ConnLimit, p.mixers)
-				}
-			}
-		}
+		o.ConnMost, o.ProbePath = p.poolBounds(h.Service)
 		pool = upstream.NewPool(h.Address, o)
 		p.pools[h.ID] = pool
 	}
 	return pool
 }
 
+// poolBounds gives how many connections this proxy may open to a searcher of a service, 0 if that is not told, and where one is probed.
+func (p *Proxy) poolBounds(service string) (connMost int, probePath string) {
+	doc := p.doc.Load()
+	if doc == nil || doc.Plants[service] == nil {
+		return 0, ""
+	}
+	plant := doc.Plants[service]
+	if plant.ConnLimit > 0 {
+		connMost = connShare(plant.ConnLimit, p.mixers)
+	}
+	return connMost, plant.ProbePath
+}
+
+// followPools has the pools go by the configuration and the count of mixers of the moment: both may have been others, or not known yet,
+// when a pool was made. The lock is held.
+func (p *Proxy) followPools() {
+	for i := range p.hosts {
+		if pool := p.pools[p.hosts[i].ID]; pool != nil {
+			pool.Follow(p.poolBounds(p.hosts[i].Service))
+		}
+	}
+}
+
 // vouchShare is for how many quarters of the time that an address rests an answer vouches for its searcher: clocks differ in their pace.
 const vouchShare = 3
 
--- a/request/life.go
+++ b/request/life.go
@@ -13,8 +13,9 @@
 type Terms struct {
 	Seed   uint64
 	Budget retrybudget.Terms
-	// Book is that of a life before, after a fault in it: what was spent still counts. A new one if nil.
-	Book *retrybudget.Book
+	// Before is a life before this one, after a fault in it, or nil: what was spent still counts, and whose addresses are others'
+	// is still known.
+	Before *Life
 	// Plant is called at each step of the module, with the set of services that it is for: tests have it panic. Nil in service.
 	Plant func(step Step, services []string)
 }
@@ -52,11 +53,16 @@
 
 // New makes the life of a mixer that has nothing in hand.
 func New(t Terms, now time.Duration) *Life {
-	if t.Book == nil {
-		t.Book = retrybudget.New(t.Budget)
+	l := &Life{terms: t, now: now, dice: rand.New(rand.NewPCG(t.Seed, 0)), groups: map[string]*group{}, hosts: map[string]*Host{},
+		parts: map[uint64]*part{}, reqs: map[uint64]*Request{}}
+	if before := t.Before; before != nil {
+		l.book, l.astray, l.doubts = before.book, before.astray, before.doubts
+		l.terms.Before = nil
+		return l
 	}
-	return &Life{terms: t, now: now, dice: rand.New(rand.NewPCG(t.Seed, 0)), book: t.Book,
-		groups: map[string]*group{}, hosts: map[string]*Host{}, astray: map[string]misdirection{}, doubts: doubts{at: map[string]time.Duration{}}, parts: map[uint64]*part{}, reqs: map[uint64]*Request{}}
+	l.book, l.astray = retrybudget.New(t.Budget), map[string]misdirection{}
+	l.doubts = doubts{at: map[string]time.Duration{}}
+	return l
 }
 
 // Book is the account of the retry budget, for a life that follows.
--- a/retrybudget/figures.go
+++ b/retrybudget/figures.go
@@ -76,7 +76,7 @@
 		a := b.of[service]
 		all = append(all, Figures{Service: service, Requests: a.seen.requests, Charged: a.seen.charged, Starved: a.seen.starved,
 			Misdirected: a.seen.misdirected, Ended: a.seen.ended, Took: a.seen.took, Longest: a.seen.longest,
-			Counting: b.counting(now, a), Open: a.open, Lost: a.lost.High(now, b.lostSpan()), Room: b.room(now, a, 0, b.terms.Window)})
+			Counting: b.counting(now, a), Open: a.open, Lost: a.lost.High(now, CountsFor(b.terms.Window)), Room: b.room(now, a, 0, b.terms.Window)})
 	}
 	return all
 }
@@ -91,7 +91,7 @@
 	}
 	a.seen.wasExhausted, a.seen.exhaustedAt = true, now
 	b.exhausted = append(b.exhausted, Exhausted{Service: service, Requests: a.asked.least(now, b.terms.Window, 0, b.terms.Window),
-		Counting: b.counting(now, a), Open: a.open, Lost: a.lost.High(now, b.lostSpan()), Room: b.room(now, a, 0, b.terms.Window)})
+		Counting: b.counting(now, a), Open: a.open, Lost: a.lost.High(now, CountsFor(b.terms.Window)), Room: b.room(now, a, 0, b.terms.Window)})
 }
 
 // TakeExhausted gives the services that were refused since it was last called.
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -34,6 +34,10 @@
 	Window       time.Duration
 }
 
+// CountsFor is for how long what a mixer has sent may count: it may be read late, and counts for a window then. For so long a mixer that
+// has ended is to be counted among those that share the slack.
+func CountsFor(window time.Duration) time.Duration { return (1 + readLate) * window }
+
 // Book counts for one mixer.
 type Book struct {
 	terms      Terms
@@ -87,7 +91,7 @@
 	}
 	// What is open may be read in a window that begins only later, and is held against the requests of that one.
 	counting, room := b.counting(now, a), b.room(now, a, 0, b.terms.Window)
-	mayCome := a.open + a.lost.High(now, b.lostSpan())
+	mayCome := a.open + a.lost.High(now, CountsFor(b.terms.Window))
 	roomLater := b.room(now, a, b.terms.Window, b.terms.Window+max(0, until-now)+readMargin)
 	if float64(counting+1) <= room && float64(mayCome+1) <= roomLater {
 		return true
@@ -102,12 +106,9 @@
 
 // counting is how many charges count at the moment.
 func (b *Book) counting(now time.Duration, a *account) int {
-	return b.strays.High(now, b.terms.Window) + a.open + a.read.High(now, b.terms.Window) + a.lost.High(now, b.lostSpan())
+	return b.strays.High(now, b.terms.Window) + a.open + a.read.High(now, b.terms.Window) + a.lost.High(now, CountsFor(b.terms.Window))
 }
 
-// lostSpan is for how long after it was given up a dispatch counts: it may be read late, and counts for a window then.
-func (b *Book) lostSpan() time.Duration { return (1 + readLate) * b.terms.Window }
-
 // room is how many charges may count in any window that ends in a span from now on.
 func (b *Book) room(now time.Duration, a *account, from, to time.Duration) float64 {
 	room := spareShare * b.terms.Ratio * float64(a.asked.least(now, b.terms.Window, from, to))
--- a/retrybudget/trail.go
+++ b/retrybudget/trail.go
@@ -60,7 +60,7 @@
 		a.read.Add(now, b.terms.Window)
 	}
 	for ; t.lostCharges < lost; t.lostCharges++ {
-		a.lost.Add(now, b.lostSpan())
+		a.lost.Add(now, CountsFor(b.terms.Window))
 	}
 	a.open += open - t.openCharges
 	t.openCharges = open
