--- a/internal/upstream/identity.go
+++ b/internal/upstream/identity.go
@@ -8,7 +8,7 @@
 )
 
 // An address goes to another searcher some time after the one that had it has ended, and a request that is sent there is read by somebody
-// whom it was not meant for. So where nobody vouches for the searcher (Call.Vouched), a new connection carries no request until its other
+// whom it was not meant for. So where nobody vouches for the searcher (Call.VouchedUntil), a new connection carries no request until its other
 // end is known: by an answer that the searcher gave to this mixer shortly before, over whichever connection, as an address rests for a
 // while before it is given away; else by what it says of itself when it is probed. A connection that was made to the searcher stays one to it for as long as it lasts.
 
@@ -20,7 +20,7 @@
 
 // isKnown tells whether the searcher is known to be at the other end of a connection.
 func (p *Pool) isKnown(c *conn, call *Call) bool {
-	if c.shown || call.Vouched || call.Target == "" {
+	if c.shown || call.Target == "" || c.dialed.Before(call.VouchedUntil) {
 		return true
 	}
 	p.mu.Lock()
--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -37,7 +37,7 @@
 		must.Eq(t, probes, s.Probes())
 	}
 	vouched := to("i-1", "a1")
-	vouched.Vouched = true
+	vouched.VouchedUntil = time.Now().Add(time.Hour)
 	do(vouched, false)
 	do(to("i-1", "a2"), false) // over the same connection
 	p.Retire()
@@ -56,6 +56,16 @@
 	do(to("i-1", "a7"), false)
 }
 
+// TestVouchRunsOut: what was vouched for when a call was decided on holds for a connection that is made soon.
+func TestVouchRunsOut(t *testing.T) {
+	s, p := setup(t, rude.Options{ID: "i-2"}, Options{ProbePath: probePath})
+	c := to("i-1", "a1")
+	c.VouchedUntil = time.Now()
+	a := p.Do(c)
+	must.True(t, a.Misdirected() && !a.Wrote)
+	must.Eq(t, 0, s.Ledger().Arrived("a1"))
+}
+
 // TestAnotherAtTheAddress: a request for a searcher whose address is another's is not sent, and its end says why.
 func TestAnotherAtTheAddress(t *testing.T) {
 	s, p := setup(t, rude.Options{ID: "i-2"}, Options{ProbePath: probePath, VouchFor: time.Hour})
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -87,8 +87,8 @@
 	// ToldDeadline goes out in Deadline-Ms as what is left of it at the moment of writing; none if zero. Once it has
 	// passed, nothing is written.
 	ToldDeadline time.Time
-	// Vouched says that the searcher may be taken to be at its address; see identity.go.
-	Vouched bool
+	// VouchedUntil is until when a connection that is made to the address may be taken for one to the searcher; see identity.go.
+	VouchedUntil time.Time
 
 	mu        sync.Mutex
 	cancelled bool
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -34,7 +34,9 @@
 	s := &sending{pool: p.pool(d.Host)}
 	s.call.Request = t.Request
 	s.call.Target = d.Host.ID
-	s.call.Vouched = d.Vouched
+	if d.Vouched {
+		s.call.VouchedUntil = time.Now().Add(vouchedFor)
+	}
 	s.call.Deadline = p.start.Add(d.Until)
 	s.call.ToldDeadline = t.until
 	if over := s.call.Deadline.Sub(t.until); over > deadlineSlack {
@@ -77,6 +79,10 @@
 	}
 }
 
+// vouchedFor is how long after a dispatch was decided on the list still vouches for the address: a process that is stopped in between
+// knows of nothing that came meanwhile.
+const vouchedFor = time.Second
+
 // vouchShare is for how many quarters of the time that an address rests an answer vouches for its searcher: clocks differ in their pace.
 const vouchShare = 3
 
