The budget goes by fixed shares of two windows: each mixer taking its greatest of three summed up to too much

Found on writing the argument down: the rule takes the greatest of three windows for all mixers together, each mixer took its own. A third of the window and two thirds of the one before are at most the greater of both, for each mixer and so for the sum.

--- a/retrybudget/tally.go
+++ b/retrybudget/tally.go
@@ -30,8 +30,10 @@
 	t.n[t.last%kept]++
 }
 
-// least is how many requests any window that ends in a span from now on will be held against, at the least: those of the
-// window, of the one before or of the one half a window earlier, whichever are most. Only those that are counted by now are.
+// least is for how many requests any window that ends in a span from now on gives room, at the least: a third of those that it holds and
+// two thirds of those of the window before it, of which only those that are counted by now are sure. The rule takes whichever of these are
+// most in all mixers together. Each mixer taking what is most with it would sum up to more where clients move from one to the other; in fixed
+// shares the sum stays below. Of the present window a mixer that has just started, or a service that is new, has at least some.
 func (t *tally) least(now, window, from, to time.Duration) int {
 	t.turn(now, window)
 	var upto [kept + 1]int // upto[i] counts the i oldest slices
@@ -50,8 +52,7 @@
 	low := upto[kept]
 	for ahead := int(from / slice); ahead <= int(to/slice)+1 && low > 0; ahead++ { // the window ends so many slices from now
 		end := kept + ahead
-		low = min(low, max(between(end-sliceCount-1, end), between(end-sliceCount*3/2-1, end-sliceCount/2-1),
-			between(end-2*sliceCount-1, end-sliceCount-1)))
+		low = min(low, (between(end-sliceCount-1, end)+2*between(end-2*sliceCount-1, end-sliceCount-1))/3)
 	}
 	return low
 }
