The budget is checked by the same end that it was asked with

The module asks by its own end of a request, some milliseconds before the request's; a slice of a window lay between the two. TestBudgetIsCheckedAsItWasAsked fails on the check before.

--- a/request/group.go
+++ b/request/group.go
@@ -70,7 +70,7 @@
 	g := &group{l: l, key: key, cells: services, classes: map[class]int{}, hosts: map[string]*host{}}
 	g.m = brain.New(brain.Settings{Seed: l.terms.Seed, Mixers: 1, Cells: len(services), Reach: 1, PartsPerCall: 1, MaxTries: 1,
 		SecondCopies: true, RetryAdvice: true, MaxRetryIn: retryMost, Round: granularity, AskEvery: time.Second,
-		Few: 3, Patient: true, Soonest: true, Spare: func(cell int, until time.Duration) bool { return l.book.Room(l.now, g.cells[cell], until) }}, port{g}, l.now)
+		Few: 3, Patient: true, Soonest: true, Spare: g.mayGoAgain}, port{g}, l.now)
 	l.groups[key] = g
 	for _, id := range slices.Sorted(maps.Keys(l.hosts)) {
 		g.note(l.hosts[id])
@@ -84,6 +84,12 @@
 	return g
 }
 
+// mayGoAgain tells the module whether the retry budget has room for a further dispatch that ends at some time.
+func (g *group) mayGoAgain(cell int, until time.Duration) bool {
+	g.l.roomUntil = until
+	return g.l.book.Room(g.l.now, g.cells[cell], until)
+}
+
 // class finds the module's index of a route's kind.
 func (g *group) class(r *manifest.Route) int {
 	gathered := len(r.FanOut) > 0
--- a/request/life.go
+++ b/request/life.go
@@ -45,8 +45,10 @@
 	timers    timers
 	ranOn     time.Duration // when the process last went on after it had not run for a while
 	paused    time.Duration // for how long it has not run, in all
-	over      bool          // after Abandon
-	inside    *group        // whose module is deciding
+	// roomUntil is the end of the further dispatch for which room in the retry budget was last asked.
+	roomUntil time.Duration
+	over      bool   // after Abandon
+	inside    *group // whose module is deciding
 	acts      []Act
 	Counts    Counts
 }
--- a/request/starved_test.go
+++ b/request/starved_test.go
@@ -102,3 +102,24 @@
 		})
 	}
 }
+
+// TestBudgetIsCheckedAsItWasAsked: a dispatch is held against the budget by the same end that the module asked with; by the request's own
+// end, some milliseconds later, a window more may come into view (soak seeds 9001 to 9004 at the incident's size).
+func TestBudgetIsCheckedAsItWasAsked(t *testing.T) {
+	hosts := []Host{{ID: "i1", Address: "a", Service: "a", State: brain.Ready}, {ID: "i2", Address: "b", Service: "a", State: brain.Ready}}
+	for horizon := 500 * ms; horizon < 1200*ms; horizon += 3 * ms {
+		l := New(Terms{Seed: 1, Budget: retrybudget.Terms{Ratio: 0.2, Window: 10 * time.Second}}, 0)
+		l.Mixers(1)
+		l.List(hosts)
+		route := &manifest.Route{Plant: "a", Idempotent: true, Horizon: horizon, Setpoint: 300 * ms, Retries: 2}
+		for n := range 400 {
+			l.At(l.now + 50*ms)
+			l.Begin(&Request{Route: route, Until: l.now + horizon, Done: func(Final) {}})
+			for i, a := range l.Take(nil) {
+				out := []brain.Outcome{brain.Cut, brain.Pass}[(n+i)%2]
+				l.Returned(a.Dispatch, out, MayRead, &Reply{Status: 200, Seal: "seal"})
+			}
+		}
+		must.Positive(t, l.Counts.Further)
+	}
+}
