--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -92,6 +92,7 @@
 	puller := distribution.Puller{Board: p.board, Node: p.set.Node, Life: p.name, Kind: "proxy", Merged: p.merged,
 		Choose: func(int) string { return AgentPort(p.set) }, Network: keepalive.TCP{Relay: p.set.Relay, From: p.set.Node}}
 	go puller.Run(all)
+	go p.pulse(all)
 	go figures.ServeFor(all, p.log, p.set.IP, p.set.Metrics, p.figures)
 	rs := &http.Server{Handler: http.HandlerFunc(p.ready), ReadTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
 	go rs.Serve(ready)
@@ -223,6 +224,20 @@
 
 func (p *Proxy) now() time.Duration { return time.Since(p.start) }
 
+// pulse moves the clock of what decides, so that it notices when the process did not run.
+func (p *Proxy) pulse(ctx context.Context) {
+	tick := time.NewTicker(request.Pulse)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.do(func() {})
+		}
+	}
+}
+
 // due is the clock's call.
 func (p *Proxy) due() {
 	p.mu.Lock()
--- a/request/life.go
+++ b/request/life.go
@@ -20,10 +20,13 @@
 	Plant func(step Step, services []string)
 }
 
-// pauseLeast is a time without any event in which something was in hand, from which on the process is held not to have run: the
-// module asks to be woken much sooner.
+// pauseLeast is a time without any event from which on the process is held not to have run: whoever drives a Life calls At each
+// Pulse, whatever happens.
 const pauseLeast = time.Second
 
+// Pulse is how often At is to be called at least.
+const Pulse = 400 * time.Millisecond
+
 // catchUp is how long the process may take, after a pause, to read what came in meanwhile.
 const catchUp = 20 * time.Millisecond
 
--- a/request/vouch.go
+++ b/request/vouch.go
@@ -14,6 +14,9 @@
 	doubtFor = 10 * time.Second
 	// doubtMany is how many such searchers have the list vouch for no other: many have ended, and addresses are being given away.
 	doubtMany = 3
+	// pauseDoubt is how long after a pause of the process the list vouches for nobody: it is as old as the pause was long, until
+	// the agent, which may have paused too, has pulled what it missed.
+	pauseDoubt = 3 * time.Second
 )
 
 // doubts are the searchers that lately could not be reached, or fell silent.
@@ -43,6 +46,9 @@
 
 // vouches tells whether the list vouches for a searcher's address.
 func (l *Life) vouches(h *Host) bool {
+	if l.ranOn > 0 && l.now-l.ranOn < pauseDoubt {
+		return false
+	}
 	return !h.Silent && l.addresses[h.Address] == 1 && !l.doubts.against(l.now, h.ID)
 }
 
