--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -131,7 +131,7 @@
 
 // start starts the system with everything around it.
 func (r *run) start() error {
-	r.network = newNetwork()
+	r.network = newNetwork(func(err error) { r.violated("soak: relay: %v", err) })
 	through, err := r.network.openThrough()
 	if err != nil {
 		return err
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -21,6 +21,7 @@
 	reuseDelay = 2 * time.Second
 	workMost   = 10 * time.Millisecond
 	queueMost  = 16
+	capacity   = 8 // requests at work
 	zones      = 3
 	slowTimes  = 30 // as long
 	failEvery  = 3  // requests
@@ -55,7 +56,7 @@
 		p = &place{address: r.system.Place(int(r.places.Add(1)))}
 	}
 	b, err := berths.NewSearcher(berths.SearcherOptions{Service: service, Zone: zoneName(rand.IntN(zones)), Control: r.searcherDoors,
-		Period: beatEvery, Server: rude.Options{Addr: p.address, ID: fmt.Sprintf("i-%d-%d", r.options.Seed, r.births.Add(1)), Ledger: r.system.Ledger, Queue: queueMost, Script: work, TellLoad: true}})
+		Period: beatEvery, Server: rude.Options{Addr: p.address, ID: fmt.Sprintf("i-%d-%d", r.options.Seed, r.births.Add(1)), Ledger: r.system.Ledger, Capacity: capacity, Queue: queueMost, Script: work, TellLoad: true}})
 	if err != nil {
 		return nil, err
 	}
