--- a/lab/soak/network.go
+++ b/lab/soak/network.go
@@ -243,6 +243,10 @@
 				p.end(true)
 				return
 			}
+			if from == p.near { // callers end both ways at once; one that stands still at the other end would hold the pair
+				p.end(false)
+				return
+			}
 			if half, ok := to.(*net.TCPConn); ok {
 				half.CloseWrite()
 			}
