A client that leaves behind a request of its own is noticed; who has left gets no empty 200

Cause: net/http sees the end of a connection by reading on, and stops reading once anything has come: a pipelined request hides the end. Class: a wait that trusts a signal which another state of the same connection hides. A connection whose request lasts is asked itself each quarter of a second (POLLRDHUP). Beside it: the handler of a request whose client had left returned without an answer, for which net/http says 200: a client that had ended only its side got an empty success. It is aborted now, and what it had pipelined with it. Looked for elsewhere: upstream reads its connections itself; controllers answer within seconds and bound each call.

--- a/proxy/front.go
+++ b/proxy/front.go
@@ -78,7 +78,7 @@
 	f, ok := p.await(r, route, t)
 	if !ok {
 		p.sight.clientLeft()
-		return
+		panic(http.ErrAbortHandler) // without an answer, and without its next request
 	}
 	p.explain(&failure{attempt: id, route: route.Name, version: doc.Version, took: time.Since(at), left: left}, f)
 	answer(w, f)
@@ -101,10 +101,18 @@
 	done := make(chan request.Final, 1)
 	req := &request.Request{Route: route, Until: t.until.Sub(p.start), Data: t, Done: func(f request.Final) { done <- f }}
 	p.do(func() { p.life.Begin(req) })
-	select {
-	case f := <-done:
-		return f, true
-	case <-r.Context().Done():
+	ask := time.NewTicker(askEvery)
+	defer ask.Stop()
+	for {
+		select {
+		case f := <-done:
+			return f, true
+		case <-ask.C:
+			if !hasLeft(r) {
+				continue
+			}
+		case <-r.Context().Done():
+		}
 		p.do(func() { p.life.Leave(req) })
 		return request.Final{}, false
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -97,7 +97,7 @@
 	rs := &http.Server{Handler: http.HandlerFunc(p.ready), ReadTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
 	go rs.Serve(ready)
 	fs := &http.Server{Handler: p, ReadHeaderTimeout: headSign, IdleTimeout: restSign, MaxHeaderBytes: headMost,
-		DisableGeneralOptionsHandler: true}
+		DisableGeneralOptionsHandler: true, ConnContext: withConnection}
 	ended := make(chan error, 1)
 	p.callers.Bind(fs)
 	go func() { ended <- fs.Serve(limitedListener{p.callers.Listen(front), p.limits}) }()
