--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"peathollow/distribution"
 	"peathollow/internal/figures"
 	"peathollow/internal/keepalive"
+	"peathollow/internal/periodic"
 	"peathollow/internal/settings"
 	"peathollow/proxy"
 	"peathollow/registry"
@@ -74,20 +75,13 @@
 }
 
 func (a *Agent) tick(ctx context.Context) {
-	k := time.NewTicker(a.set.BeatPeriod / 2)
-	defer k.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.C:
-			n := 0
-			a.board.With(func(r *registry.Registry) bool {
-				n = distribution.CountMixers(r, retrybudget.CountsFor(a.set.RetryWindow))
-				return r.Tick(time.Now())
-			})
-			a.board.SetMixers(n)
-			a.board.SetSlackSpent(a.proxies.slackSpent(time.Now()))
-		}
-	}
+	periodic.Each(ctx, a.set.BeatPeriod/2, func() {
+		n := 0
+		a.board.With(func(r *registry.Registry) bool {
+			n = distribution.CountMixers(r, retrybudget.CountsFor(a.set.RetryWindow))
+			return r.Tick(time.Now())
+		})
+		a.board.SetMixers(n)
+		a.board.SetSlackSpent(a.proxies.slackSpent(time.Now()))
+	})
 }
--- a/controlplane/simulation/front.go
+++ b/controlplane/simulation/front.go
@@ -9,6 +9,7 @@
 	"peathollow/agent"
 	"peathollow/controlplane"
 	"peathollow/distribution"
+	"peathollow/internal/periodic"
 	"peathollow/internal/simnet"
 	"peathollow/registry"
 )
@@ -105,15 +106,8 @@
 
 func (w *World) tickBoard(ctx context.Context, b *distribution.Board) {
 	w.work.Go(func() {
-		t := time.NewTicker(beatPeriod / 2)
-		defer t.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-				b.With(func(r *registry.Registry) bool { return r.Tick(time.Now()) })
-			}
-		}
+		periodic.Each(ctx, beatPeriod/2, func() {
+			b.With(func(r *registry.Registry) bool { return r.Tick(time.Now()) })
+		})
 	})
 }
--- a/internal/standin/berths/clients.go
+++ b/internal/standin/berths/clients.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 
+	"peathollow/internal/periodic"
 	"peathollow/internal/standin/rude"
 )
 
@@ -60,27 +61,13 @@
 	var all sync.WaitGroup
 	defer all.Wait()
 	n := 0
-	Each(ctx, time.Second/time.Duration(rate), func() {
+	periodic.Each(ctx, time.Second/time.Duration(rate), func() {
 		number := n
 		n++
 		all.Go(func() { one(number) })
 	})
 }
 
-// Each calls do after each span till ctx ends.
-func Each(ctx context.Context, span time.Duration, do func()) {
-	tick := time.NewTicker(span)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			do()
-		}
-	}
-}
-
 // Kinds tells what was seen so far; err is of the first request that got no right answer.
 func (l *Load) Kinds() (kinds []Kind, err error) {
 	l.mu.Lock()
--- a/lab/scale/agents.go
+++ b/lab/scale/agents.go
@@ -10,6 +10,7 @@
 
 	"peathollow/agent"
 	"peathollow/distribution"
+	"peathollow/internal/periodic"
 	"peathollow/internal/settings"
 	"peathollow/registry"
 )
@@ -180,16 +181,9 @@
 const tidyEvery = 10 * time.Second
 
 func (h *hollowAgent) tick(ctx context.Context) {
-	k := time.NewTicker(tidyEvery)
-	defer k.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.C:
-			h.board.With(func(r *registry.Registry) bool { return r.Tick(time.Now()) })
-		}
-	}
+	periodic.Each(ctx, tidyEvery, func() {
+		h.board.With(func(r *registry.Registry) bool { return r.Tick(time.Now()) })
+	})
 }
 
 // say has it counted as a mixer; it takes no heartbeats.
--- a/lab/soak/fronts.go
+++ b/lab/soak/fronts.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"peathollow/internal/periodic"
 	"peathollow/internal/standin/berths"
 )
 
@@ -46,7 +47,7 @@
 // probe asks a front for the routes that versions add: within one life of its proxy none that was there goes away.
 func (r *run) probe(ctx context.Context, i int) {
 	n := 0
-	berths.Each(ctx, probeEvery, func() {
+	periodic.Each(ctx, probeEvery, func() {
 		r.probeOnce(ctx, i, n)
 		n++
 	})
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/periodic"
 )
 
 // order is a configuration that an operator sent.
@@ -199,7 +199,7 @@
 
 // work changes the configuration now and then, and sends orders again that were acknowledged, till ctx ends.
 func (o *operators) work(ctx context.Context) {
-	berths.Each(ctx, changeEvery, func() {
+	periodic.Each(ctx, changeEvery, func() {
 		o.change(ctx)
 		if d := o.again(); d != nil && ctx.Err() == nil {
 			o.put(ctx, d)
@@ -220,7 +220,7 @@
 // read reads back what is in force, till ctx ends: never an older version than was acknowledged when the question was
 // sent, and what was sent under its number.
 func (o *operators) read(ctx context.Context) {
-	berths.Each(ctx, readEvery, func() { o.readOnce(ctx) })
+	periodic.Each(ctx, readEvery, func() { o.readOnce(ctx) })
 }
 
 // readOnce tells whether a configuration was read.
--- a/mixer/ally.go
+++ b/mixer/ally.go
@@ -16,6 +16,7 @@
 	"peathollow/fleet"
 	"peathollow/fleet/overload"
 	"peathollow/fleet/view"
+	"peathollow/internal/periodic"
 )
 
 // ally handles overload with the other mixers as one: package fleet decides, the group carries, the module is handed what
@@ -109,17 +110,10 @@
 
 // run speaks and advises once a beat, until the context ends.
 func (a *ally) run(ctx context.Context) {
-	tick := time.NewTicker(a.beat)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	periodic.Each(ctx, a.beat, func() {
 		a.speak(false)
 		a.advise()
-	}
+	})
 }
 
 func (a *ally) speak(leaves bool) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"peathollow/internal/figures"
 	"peathollow/internal/invariant"
 	"peathollow/internal/keepalive"
+	"peathollow/internal/periodic"
 	"peathollow/internal/settings"
 	"peathollow/internal/upstream"
 	"peathollow/manifest"
@@ -226,16 +227,7 @@
 
 // pulse moves the clock of what decides, so that it notices when the process did not run.
 func (p *Proxy) pulse(ctx context.Context) {
-	tick := time.NewTicker(request.Pulse)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			p.do(func() {})
-		}
-	}
+	periodic.Each(ctx, request.Pulse, func() { p.do(func() {}) })
 }
 
 // due is the clock's call.
