--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -202,3 +202,49 @@
 	p.Follow(1, "")
 	must.Eq(t, Answered, p.Do(get("a3")).Outcome) // over the one that is open
 }
+
+// TestUnreachable: an address where nobody listens, or nobody answers for as long as a connection may take, is unreachable; a call without
+// that much time says nothing of it.
+func TestUnreachable(t *testing.T) {
+	s, p := setup(t, rude.Options{}, Options{})
+	s.Close()
+	must.True(t, p.Do(get("a1")).Unreachable)
+
+	for name, c := range map[string]struct {
+		left, most time.Duration
+		want       bool
+	}{
+		"the call's own time is over": {20 * time.Millisecond, 10 * time.Second, false},
+		"nobody answers":              {10 * time.Second, 20 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			full := unanswered(t)
+			p := NewPool(full, Options{ConnectTimeout: c.most})
+			call := get("a1")
+			call.Deadline = time.Now().Add(c.left)
+			a := p.Do(call)
+			must.Eq(t, NoConnect, a.Outcome)
+			must.Eq(t, c.want, a.Unreachable, must.Sprint(a.Err))
+		})
+	}
+}
+
+// unanswered gives an address at which new connections get no answer: its queue of them is full.
+func unanswered(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	must.NoError(t, err)
+	t.Cleanup(func() { syscall.Close(fd) })
+	must.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	must.NoError(t, syscall.Listen(fd, 0))
+	bound, err := syscall.Getsockname(fd)
+	must.NoError(t, err)
+	address := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: bound.(*syscall.SockaddrInet4).Port}).String()
+	for { // until the queue is full
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -99,7 +99,7 @@
 			if c, err = p.dial(call, connected); err != nil {
 				p.lose(nil)
 				a := p.unsent(call, err)
-				a.Unreachable = a.Outcome == NoConnect
+				a.Unreachable = a.Outcome == NoConnect && !(isTimeout(err) && connected.Equal(call.Deadline))
 				return a
 			}
 			now = time.Now()
@@ -188,6 +188,12 @@
 	return nil, nil
 }
 
+// isTimeout tells whether a dial ended for want of time.
+func isTimeout(err error) bool {
+	var fault net.Error
+	return errors.As(err, &fault) && fault.Timeout()
+}
+
 // connectBy is until when a call's connection has to be there, and its other end known.
 func (p *Pool) connectBy(call *Call, now time.Time) time.Time {
 	until := now.Add(p.opts.ConnectTimeout)
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -64,7 +64,7 @@
 	NotExecuted bool // the Not-Executed header was there, believed or not
 	RetryAfter  time.Duration
 	Wrote       bool          // at least one byte of the request was handed to the kernel
-	Unreachable bool          // no connection to the address came about
+	Unreachable bool          // no connection to the address came about, though the call had the time that one may take
 	Fresh       bool          // went over a new connection, or would have
 	Idle        time.Duration // how long the connection had lain idle
 	Err         error         // nil for Answered and NotExecuted
