--- a/cmd/peathollow/hangup_test.go
+++ b/cmd/peathollow/hangup_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 // A SIGHUP from the first moment at which the process has any say in it does not end a role that starts. Before, the
@@ -33,7 +33,7 @@
 	must.NoError(t, p.Start())
 	ended := make(chan error, 1)
 	go func() { ended <- p.Wait() }()
-	for late := time.Now().Add(30 * time.Second); !berths.Decided(p.Process.Pid, syscall.SIGHUP); {
+	for late := time.Now().Add(30 * time.Second); !localsystem.Decided(p.Process.Pid, syscall.SIGHUP); {
 		must.True(t, time.Now().Before(late))
 	}
 	must.NoError(t, p.Process.Signal(syscall.SIGHUP))
--- a/cmd/peathollow/operate_test.go
+++ b/cmd/peathollow/operate_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"peathollow/client"
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 func golden(t *testing.T, want string, show func(out *bytes.Buffer) error) {
@@ -63,7 +63,7 @@
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet && r.URL.Path == "/config" {
-			w.Write(berths.Config(1))
+			w.Write(localsystem.Config(1))
 		}
 	}))
 	defer s.Close()
@@ -84,19 +84,19 @@
 		must.NoError(t, os.WriteFile(path, b, 0o600))
 		return path
 	}
-	two, bad := file(berths.Config(2)), file(bytes.Replace(berths.Config(2), []byte(`"top-k": 10`), []byte(`"top-k": -1`), 1))
+	two, bad := file(localsystem.Config(2)), file(bytes.Replace(localsystem.Config(2), []byte(`"top-k": 10`), []byte(`"top-k": -1`), 1))
 
 	out, code := operated(t, "config", "diff", two)
 	must.Eq(t, 0, code, must.Sprint(out))
 	must.Eq(t, "version 1 in force, 2 in the file\nwhat   of     name   field  values\nadded  route  later  -      -\n", out)
-	out, code = operated(t, "config", "diff", file(bytes.Replace(berths.Config(1), []byte(`"top-k": 10`), []byte(`"top-k": 5`), 1)))
+	out, code = operated(t, "config", "diff", file(bytes.Replace(localsystem.Config(1), []byte(`"top-k": 10`), []byte(`"top-k": 5`), 1)))
 	must.Eq(t, 0, code, must.Sprint(out))
 	must.StrContains(t, out, "changed  route  fan   TopK   10 -> 5")
 	must.StrContains(t, out, "would be acknowledged and change nothing")
 
 	out, code = operated(t, "config", "get", "--json")
 	must.Eq(t, 0, code)
-	must.Eq(t, string(berths.Config(1)), strings.TrimSpace(out))
+	must.Eq(t, string(localsystem.Config(1)), strings.TrimSpace(out))
 
 	// A file that is invalid is never sent.
 	for _, command := range []string{"put", "diff"} {
@@ -115,7 +115,7 @@
 	must.NoError(t, json.Unmarshal([]byte(out), &told))
 	must.False(t, told.Valid)
 	must.Eq(t, "routes[0].top-k", told.Path)
-	must.StrContains(t, strings.Split(string(berths.Config(2)), "\n")[told.Line-1], "top-k")
+	must.StrContains(t, strings.Split(string(localsystem.Config(2)), "\n")[told.Line-1], "top-k")
 
 	for _, wrong := range [][]string{{"status", "odd"}, {"nodes", "--odd"}, {"status", "--timeout", "0s"}, {"config", "put"}} {
 		out, code = operated(t, wrong...)
--- a/cmd/peathollow/trysystem.go
+++ b/cmd/peathollow/trysystem.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 func trySystem() *cli.Command {
@@ -57,14 +57,14 @@
 	began := time.Now()
 	starting, done := context.WithTimeout(ctx, startMost)
 	defer done()
-	s, err := berths.Start(starting, berths.Options{Program: []string{program}})
+	s, err := localsystem.Start(starting, localsystem.Options{Program: []string{program}})
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, s.Stop()) }()
 	fmt.Fprintf(out, "3 controllers, 2 fronts (proxy and agent each) and 8 searchers serve after %v; in another terminal:\n"+
 		"  peathollow status --control %s\n", time.Since(began).Round(time.Millisecond), strings.Join(s.Control, ","))
-	load := berths.NewLoad(s)
+	load := localsystem.NewLoad(s)
 	sending, end := context.WithCancel(ctx)
 	defer end()
 	sent := make(chan struct{})
@@ -99,7 +99,7 @@
 }
 
 // midway is the trouble, if there is to be any, and a change of configuration.
-func (t *systemTrial) midway(ctx context.Context, s *berths.System, out io.Writer) error {
+func (t *systemTrial) midway(ctx context.Context, s *localsystem.System, out io.Writer) error {
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -125,7 +125,7 @@
 }
 
 // report prints what was served, and tells whether all of it was right.
-func report(out io.Writer, s *berths.System, load *berths.Load) error {
+func report(out io.Writer, s *localsystem.System, load *localsystem.Load) error {
 	kinds, fault := load.Kinds()
 	var rows [][]any
 	wrong := 0
--- a/internal/standin/rude/rude_test.go
+++ b/internal/standin/faulty/faulty_test.go
@@ -1,4 +1,4 @@
-package rude_test
+package faulty_test
 
 import (
 	"testing"
@@ -7,16 +7,16 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/upstream"
 )
 
 // TestSlots: one at work, one in the queue, the next refused; a deadline in the queue is a refusal, one at work a run.
 func TestSlots(t *testing.T) {
 	hold, at := make(chan struct{}), make(chan struct{}, 9)
-	s, err := rude.Start(rude.Options{Capacity: 1, Queue: 1, TellLoad: true, Script: func(c rude.Call) rude.Reply {
+	s, err := faulty.Start(faulty.Options{Capacity: 1, Queue: 1, TellLoad: true, Script: func(c faulty.Call) faulty.Reply {
 		at <- struct{}{}
-		return rude.Reply{Hold: hold}
+		return faulty.Reply{Hold: hold}
 	}})
 	must.NoError(t, err)
 	defer s.Close()
--- a/internal/standin/rude/reply.go
+++ b/internal/standin/faulty/reply.go
@@ -1,4 +1,4 @@
-package rude
+package faulty
 
 import (
 	"bytes"
@@ -20,7 +20,7 @@
 	Body       []byte
 }
 
-// Way is how a reply is rude.
+// Way is how a reply misbehaves.
 type Way uint8
 
 const (
--- a/internal/standin/rude/server.go
+++ b/internal/standin/faulty/server.go
@@ -1,4 +1,4 @@
-package rude
+package faulty
 
 import (
 	"bufio"
@@ -29,7 +29,7 @@
 	ScriptProbes bool
 }
 
-// Server is one rude searcher.
+// Server is one faulty searcher.
 type Server struct {
 	opts   Options
 	ln     net.Listener
@@ -74,7 +74,7 @@
 	}
 	ln, err := net.Listen("tcp", o.Addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "rude searcher")
+		return nil, errors.Wrap(err, "faulty searcher")
 	}
 	if o.ID == "" {
 		o.ID = "i-" + strconv.Itoa(ln.Addr().(*net.TCPAddr).Port)
--- a/internal/standin/rude/work.go
+++ b/internal/standin/faulty/work.go
@@ -1,4 +1,4 @@
-package rude
+package faulty
 
 import (
 	"time"
--- a/internal/standin/berths/clients.go
+++ b/internal/standin/localsystem/clients.go
@@ -1,4 +1,4 @@
-package berths
+package localsystem
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"peathollow/internal/periodic"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 const (
@@ -175,8 +175,8 @@
 // RightSingle says what is wrong with an answer that one searcher should have given.
 func RightSingle(ids []string, attempt, path string, h http.Header, body []byte) error {
 	for _, id := range ids {
-		if h.Get("Answer-Seal") == rude.Seal(id, attempt) {
-			if string(body) != string(rude.Records(id, path, 4)) {
+		if h.Get("Answer-Seal") == faulty.Seal(id, attempt) {
+			if string(body) != string(faulty.Records(id, path, 4)) {
 				return errors.Errorf("searcher %s: not its bytes", id)
 			}
 			return nil
@@ -197,11 +197,11 @@
 	in := 0
 	for _, service := range services {
 		for _, id := range s.ids(service) {
-			if !seals[rude.Seal(id, attempt)] {
+			if !seals[faulty.Seal(id, attempt)] {
 				continue
 			}
 			in++
-			for all := rude.Records(id, path, 4); len(all) >= 16; all = all[16:] {
+			for all := faulty.Records(id, path, 4); len(all) >= 16; all = all[16:] {
 				records = append(records, string(all[:16]))
 			}
 		}
--- a/internal/standin/berths/clients_test.go
+++ b/internal/standin/localsystem/clients_test.go
@@ -1,4 +1,4 @@
-package berths
+package localsystem
 
 import (
 	"net/http"
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 // A check that lets wrong answers through would make every trial a success: each way of being wrong is planted here.
@@ -16,7 +16,7 @@
 	s := &System{}
 	for _, service := range []string{shard(0), shard(1), shard(2), single} {
 		for range copies {
-			server, err := rude.Start(rude.Options{})
+			server, err := faulty.Start(faulty.Options{})
 			must.NoError(t, err)
 			defer server.Close()
 			s.Add(&Searcher{Server: server, service: service})
@@ -26,8 +26,8 @@
 	parts := func(searchers ...int) (http.Header, []byte) {
 		var seals, records []string
 		for _, i := range searchers {
-			seals = append(seals, rude.Seal(s.Searchers()[i].ID(), id))
-			for all := rude.Records(s.Searchers()[i].ID(), path, 4); len(all) > 0; all = all[16:] {
+			seals = append(seals, faulty.Seal(s.Searchers()[i].ID(), id))
+			for all := faulty.Records(s.Searchers()[i].ID(), path, 4); len(all) > 0; all = all[16:] {
 				records = append(records, string(all[:16]))
 			}
 		}
@@ -69,9 +69,9 @@
 	}
 
 	one := s.ids(single)[1]
-	seal := http.Header{"Answer-Seal": {rude.Seal(one, id)}}
-	must.NoError(t, RightSingle(s.ids(single), id, path, seal, rude.Records(one, path, 4)))
-	must.Error(t, RightSingle(s.ids(single), id, path, seal, rude.Records(one, "/other", 4)))
-	must.Error(t, RightSingle(s.ids(single), "other", path, seal, rude.Records(one, path, 4)))
-	must.Error(t, RightSingle(s.ids(shard(0)), id, path, seal, rude.Records(one, path, 4)))
+	seal := http.Header{"Answer-Seal": {faulty.Seal(one, id)}}
+	must.NoError(t, RightSingle(s.ids(single), id, path, seal, faulty.Records(one, path, 4)))
+	must.Error(t, RightSingle(s.ids(single), id, path, seal, faulty.Records(one, "/other", 4)))
+	must.Error(t, RightSingle(s.ids(single), "other", path, seal, faulty.Records(one, path, 4)))
+	must.Error(t, RightSingle(s.ids(shard(0)), id, path, seal, faulty.Records(one, path, 4)))
 }
--- a/internal/standin/berths/searcher.go
+++ b/internal/standin/localsystem/searcher.go
@@ -1,4 +1,4 @@
-package berths
+package localsystem
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 	"github.com/go-faster/errors"
 
 	"peathollow/client"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 // Searcher is a stand-in searcher that reports to the system, as the protocol says. It does without beat-target.
 type Searcher struct {
-	*rude.Server
+	*faulty.Server
 	service, zone string
 	capacity      int
 	client        *client.Client
@@ -35,12 +35,12 @@
 	Service, Zone string
 	Control       []string
 	Period        time.Duration // between two beats
-	Server        rude.Options
+	Server        faulty.Options
 }
 
 // NewSearcher starts a searcher that reports until Close or Mute.
 func NewSearcher(o SearcherOptions) (*Searcher, error) {
-	server, err := rude.Start(o.Server)
+	server, err := faulty.Start(o.Server)
 	if err != nil {
 		return nil, errors.Wrapf(err, "searcher of %s", o.Service)
 	}
@@ -99,7 +99,7 @@
 func (s *Searcher) Service() string { return s.service }
 
 // Stand makes a searcher of a service that reports nothing, for tests of those who judge.
-func Stand(server *rude.Server, service string) *Searcher {
+func Stand(server *faulty.Server, service string) *Searcher {
 	return &Searcher{Server: server, service: service}
 }
 
@@ -118,7 +118,7 @@
 // Mute has it fall silent: it takes requests, answers none, and reports no more.
 func (s *Searcher) Mute() {
 	s.hush()
-	s.SetScript(func(rude.Call) rude.Reply { return rude.Reply{Way: rude.Hang} })
+	s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Way: faulty.Hang} })
 }
 
 func (s *Searcher) hush() {
@@ -134,6 +134,6 @@
 }
 
 // busy works for a few milliseconds on each request.
-func busy(rude.Call) rude.Reply {
-	return rude.Reply{Work: time.Duration(1+rand.IntN(10)) * time.Millisecond}
+func busy(faulty.Call) faulty.Reply {
+	return faulty.Reply{Work: time.Duration(1+rand.IntN(10)) * time.Millisecond}
 }
--- a/internal/standin/berths/signals.go
+++ b/internal/standin/localsystem/signals.go
@@ -1,4 +1,4 @@
-package berths
+package localsystem
 
 import (
 	"fmt"
--- a/internal/standin/berths/system.go
+++ b/internal/standin/localsystem/system.go
@@ -1,4 +1,4 @@
-package berths
+package localsystem
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"peathollow/client"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 const (
@@ -52,11 +52,11 @@
 
 // System is one that runs.
 type System struct {
-	Control   []string     // of the controllers
-	Fronts    []string     // where clients are served
-	Ready     []string     // where fronts tell that they are ready
-	Processes []*Process   // controllers first, then each front's agent and proxy, then spare controllers
-	Ledger    *rude.Ledger // of all searchers
+	Control   []string       // of the controllers
+	Fronts    []string       // where clients are served
+	Ready     []string       // where fronts tell that they are ready
+	Processes []*Process     // controllers first, then each front's agent and proxy, then spare controllers
+	Ledger    *faulty.Ledger // of all searchers
 
 	mu        sync.Mutex
 	searchers []*Searcher
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{dir: o.Dir, base: base, shared: base + o.Fronts*rangeLength, relays: reservations, options: o, Ledger: &rude.Ledger{}}
+	s := &System{dir: o.Dir, base: base, shared: base + o.Fronts*rangeLength, relays: reservations, options: o, Ledger: &faulty.Ledger{}}
 	if s.dir == "" {
 		if s.dir, err = os.MkdirTemp("", "peathollow-try-"); err != nil {
 			return nil, errors.Wrap(err, "folder")
@@ -239,7 +239,7 @@
 		}
 		for i := range copies {
 			x, err := NewSearcher(SearcherOptions{Service: name, Zone: zone(i), Control: s.Control, Period: beatPeriod,
-				Server: rude.Options{Ledger: s.Ledger, Queue: 8, Script: busy}})
+				Server: faulty.Options{Ledger: s.Ledger, Queue: 8, Script: busy}})
 			if err != nil {
 				return err
 			}
--- a/internal/standin/rig/doc.go
+++ b/internal/standin/rig/doc.go
@@ -1,4 +1,4 @@
-// Package rig is one proxy under test, as a front machine has it: fed over loopback from a board, with rude searchers
+// Package rig is one proxy under test, as a front machine has it: fed over loopback from a board, with faulty searchers
 // behind it and clients in front that keep an account of all they sent and got. Judge holds that account against what
 // the searchers saw, rule by rule, and takes nobody's word but that of the sockets.
 //
--- a/internal/standin/rig/judge.go
+++ b/internal/standin/rig/judge.go
@@ -11,24 +11,24 @@
 
 	"github.com/shoenig/test/must"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/manifest"
 )
 
 // reply is what a searcher was told to do with a request.
 type reply struct {
 	searcher string
-	rude.Reply
+	faulty.Reply
 }
 
 // whole are the ways that hand over a whole answer, whatever they do beside it.
-var whole = []rude.Way{rude.Good, rude.Trickle, rude.Chunked, rude.Surplus, rude.ExtraNow, rude.ExtraLate, rude.CloseAfter,
-	rude.CloseUnsaid}
+var whole = []faulty.Way{faulty.Good, faulty.Trickle, faulty.Chunked, faulty.Surplus, faulty.ExtraNow, faulty.ExtraLate, faulty.CloseAfter,
+	faulty.CloseUnsaid}
 
 // watched keeps account of what reaches a searcher, and of what it was told to do.
-func (r *Rig) watched(id string, script func(rude.Call) rude.Reply) func(rude.Call) rude.Reply {
-	return func(c rude.Call) rude.Reply {
-		var out rude.Reply
+func (r *Rig) watched(id string, script func(faulty.Call) faulty.Reply) func(faulty.Call) faulty.Reply {
+	return func(c faulty.Call) faulty.Reply {
+		var out faulty.Reply
 		if script != nil {
 			out = script(c)
 		}
@@ -59,7 +59,7 @@
 // Judge holds all that was sent and got against what the searchers saw.
 func (r *Rig) Judge() {
 	r.t.Helper()
-	entries := map[string][]rude.Entry{}
+	entries := map[string][]faulty.Entry{}
 	for _, e := range r.Ledger.Entries() {
 		entries[e.ID] = append(entries[e.ID], e)
 	}
@@ -81,7 +81,7 @@
 }
 
 // arrivals judges what of a request reached searchers.
-func (r *Rig) arrivals(id string, es []rude.Entry) string {
+func (r *Rig) arrivals(id string, es []faulty.Entry) string {
 	q := r.sent[id]
 	if q == nil {
 		return "UNASKED: no client sent it"
@@ -121,9 +121,9 @@
 // good finds a whole answer of a searcher to a request, by its seal; its body is given.
 func (r *Rig) good(id, seal string, is func(status int) bool) (searcher, body string, ok bool) {
 	for _, p := range r.replies[id] {
-		if seal == rude.Seal(p.searcher, id) && is(cmp.Or(p.Status, 200)) && slices.Contains(whole, p.Way) {
+		if seal == faulty.Seal(p.searcher, id) && is(cmp.Or(p.Status, 200)) && slices.Contains(whole, p.Way) {
 			if p.Body == nil {
-				return p.searcher, string(rude.Records(p.searcher, r.sent[id].Path, 4)), true
+				return p.searcher, string(faulty.Records(p.searcher, r.sent[id].Path, 4)), true
 			}
 			return p.searcher, string(p.Body), true
 		}
@@ -131,8 +131,8 @@
 	return "", "", false
 }
 
-func (r *Rig) answer(a *Answer, es []rude.Entry) string {
-	ran := slices.ContainsFunc(es, func(e rude.Entry) bool { return e.Ran })
+func (r *Rig) answer(a *Answer, es []faulty.Entry) string {
+	ran := slices.ContainsFunc(es, func(e faulty.Entry) bool { return e.Ran })
 	known, allowed := false, []*manifest.Route(nil)
 	for _, m := range r.configs {
 		if x := route(m, a.Of); x != nil {
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -20,7 +20,7 @@
 	"peathollow/distribution"
 	"peathollow/internal/figures"
 	"peathollow/internal/settings"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/manifest"
 	"peathollow/proxy"
 	"peathollow/registry"
@@ -67,7 +67,7 @@
 	Front, Ready string
 	Figures      string // where the proxy tells its figures
 	Log          *Log   // what it logged
-	Ledger       *rude.Ledger
+	Ledger       *faulty.Ledger
 	Limits       Limits // of the versions to come
 
 	t       testing.TB
@@ -94,7 +94,7 @@
 // Start starts a proxy that has news of nothing but the version and searchers told later; change alters its settings.
 func Start(t testing.TB, grace time.Duration, change ...func(*settings.Settings)) *Rig {
 	t.Helper()
-	r := &Rig{t: t, Log: &Log{}, Ledger: &rude.Ledger{}, Limits: Limits{16384, 4096, 3000, 15000}, news: make(chan struct{}),
+	r := &Rig{t: t, Log: &Log{}, Ledger: &faulty.Ledger{}, Limits: Limits{16384, 4096, 3000, 15000}, news: make(chan struct{}),
 		services: map[string]string{}, sent: map[string]*Request{}, replies: map[string][]reply{}}
 	start := time.Now().Add(-time.Minute)
 	source := registry.New(registry.Config{Name: "source", Period: time.Second, Start: start})
@@ -238,7 +238,7 @@
 }
 
 // Searcher starts one of a service and lists it; Sync or Put waits until the proxy knows of it.
-func (r *Rig) Searcher(service string, o rude.Options) *rude.Server {
+func (r *Rig) Searcher(service string, o faulty.Options) *faulty.Server {
 	r.t.Helper()
 	o.Ledger = r.Ledger
 	r.mu.Lock()
@@ -250,7 +250,7 @@
 	r.services[id] = service
 	r.mu.Unlock()
 	o.Script = r.watched(id, script)
-	s, err := rude.Start(o)
+	s, err := faulty.Start(o)
 	must.NoError(r.t, err)
 	r.t.Cleanup(s.Close)
 	r.Tell(service, id, s.Addr(), registry.Ready)
@@ -258,7 +258,9 @@
 }
 
 // Script changes what a searcher does from its next request on.
-func (r *Rig) Script(s *rude.Server, f func(rude.Call) rude.Reply) { s.SetScript(r.watched(s.ID(), f)) }
+func (r *Rig) Script(s *faulty.Server, f func(faulty.Call) faulty.Reply) {
+	s.SetScript(r.watched(s.ID(), f))
+}
 
 // Tell lists a searcher's state, as its own beat would.
 func (r *Rig) Tell(service, id, addr string, st registry.State) {
--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 const probePath = "/health"
@@ -25,7 +25,7 @@
 // TestIdentity: a new connection carries a request once its searcher is known to be at the other end: it was vouched for, has answered
 // lately, or says so itself.
 func TestIdentity(t *testing.T) {
-	s, p := setup(t, rude.Options{ID: "i-1"}, Options{ProbePath: probePath, VouchFor: time.Hour})
+	s, p := setup(t, faulty.Options{ID: "i-1"}, Options{ProbePath: probePath, VouchFor: time.Hour})
 	probes := 0
 	do := func(call *Call, probed bool) {
 		t.Helper()
@@ -58,7 +58,7 @@
 
 // TestVouchRunsOut: what was vouched for when a call was decided on holds for a connection that is made soon.
 func TestVouchRunsOut(t *testing.T) {
-	s, p := setup(t, rude.Options{ID: "i-2"}, Options{ProbePath: probePath})
+	s, p := setup(t, faulty.Options{ID: "i-2"}, Options{ProbePath: probePath})
 	c := to("i-1", "a1")
 	c.VouchedUntil = time.Now()
 	a := p.Do(c)
@@ -68,7 +68,7 @@
 
 // TestAnotherAtTheAddress: a request for a searcher whose address is another's is not sent, and its end says why.
 func TestAnotherAtTheAddress(t *testing.T) {
-	s, p := setup(t, rude.Options{ID: "i-2"}, Options{ProbePath: probePath, VouchFor: time.Hour})
+	s, p := setup(t, faulty.Options{ID: "i-2"}, Options{ProbePath: probePath, VouchFor: time.Hour})
 	for range 2 {
 		a := p.Do(to("i-1", "a1"))
 		must.Eq(t, NotExecuted, a.Outcome)
@@ -93,27 +93,27 @@
 // take; one that says nothing of itself is asked by the request, which names its searcher.
 func TestProbeThatComesToNothing(t *testing.T) {
 	for name, c := range map[string]struct {
-		reply rude.Reply
+		reply faulty.Reply
 		out   Outcome
 	}{
-		"silence":        {rude.Reply{Way: rude.Hang}, NoConnect},
-		"reset":          {rude.Reply{Way: rude.ResetRun}, NoConnect},
-		"no answer":      {rude.Reply{Way: rude.Spoil}, NoConnect},
-		"full":           {rude.Reply{Way: rude.Refuse}, NotExecuted},
-		"it won't say":   {rude.Reply{RawBack: []byte("HTTP/1.1 503 Ill\r\nContent-Length: 0\r\n\r\n")}, Answered},
-		"closed after":   {rude.Reply{Way: rude.CloseAfter}, Answered},
-		"it feels ill":   {rude.Reply{Status: 503}, Answered},
-		"none of a kind": {rude.Reply{Way: rude.NoLength, Status: 404}, NoConnect},
+		"silence":        {faulty.Reply{Way: faulty.Hang}, NoConnect},
+		"reset":          {faulty.Reply{Way: faulty.ResetRun}, NoConnect},
+		"no answer":      {faulty.Reply{Way: faulty.Spoil}, NoConnect},
+		"full":           {faulty.Reply{Way: faulty.Refuse}, NotExecuted},
+		"it won't say":   {faulty.Reply{RawBack: []byte("HTTP/1.1 503 Ill\r\nContent-Length: 0\r\n\r\n")}, Answered},
+		"closed after":   {faulty.Reply{Way: faulty.CloseAfter}, Answered},
+		"it feels ill":   {faulty.Reply{Status: 503}, Answered},
+		"none of a kind": {faulty.Reply{Way: faulty.NoLength, Status: 404}, NoConnect},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			script := func(call rude.Call) rude.Reply {
+			script := func(call faulty.Call) faulty.Reply {
 				if call.AttemptID == "" {
 					return c.reply
 				}
-				return rude.Reply{}
+				return faulty.Reply{}
 			}
-			s, p := setup(t, rude.Options{ID: "i-1", Script: script, ScriptProbes: true}, Options{ProbePath: probePath, VouchFor: time.Hour, ConnectTimeout: 200 * time.Millisecond})
+			s, p := setup(t, faulty.Options{ID: "i-1", Script: script, ScriptProbes: true}, Options{ProbePath: probePath, VouchFor: time.Hour, ConnectTimeout: 200 * time.Millisecond})
 			a := p.Do(to("i-1", "a1"))
 			must.Eq(t, c.out, a.Outcome, must.Sprint(a.Err))
 			must.Eq(t, a.Wrote, c.out == Answered)
@@ -126,7 +126,7 @@
 // TestFullSearcherIsProbedAgain: the connection on which a full searcher turned a probe away is kept, and asked again before its first
 // request.
 func TestFullSearcherIsProbedAgain(t *testing.T) {
-	s, p := setup(t, rude.Options{ID: "i-1", Capacity: 1}, Options{ProbePath: probePath, VouchFor: time.Hour})
+	s, p := setup(t, faulty.Options{ID: "i-1", Capacity: 1}, Options{ProbePath: probePath, VouchFor: time.Hour})
 	other := NewPool(s.Addr(), Options{})
 	t.Cleanup(other.Close)
 	_, answers, release := busy(t, s, other, 1)
@@ -145,7 +145,7 @@
 // TestCancelledProbe: a call that is called off while its connection is probed ends at once, and nothing of it goes out.
 func TestCancelledProbe(t *testing.T) {
 	at := make(chan bool, 1)
-	s, p := setup(t, rude.Options{ID: "i-1", ScriptProbes: true, Script: func(rude.Call) rude.Reply { at <- true; return rude.Reply{Way: rude.Hang} }},
+	s, p := setup(t, faulty.Options{ID: "i-1", ScriptProbes: true, Script: func(faulty.Call) faulty.Reply { at <- true; return faulty.Reply{Way: faulty.Hang} }},
 		Options{ProbePath: probePath, ConnectTimeout: time.Hour})
 	c := to("i-1", "a1")
 	answer := make(chan Answer, 1)
@@ -193,7 +193,7 @@
 
 // TestFollow: the bound on connections may change after the pool was made.
 func TestFollow(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{ConnMost: 1})
+	s, p := setup(t, faulty.Options{}, Options{ConnMost: 1})
 	_, _, release := busy(t, s, p, 1)
 	defer release()
 	must.ErrorIs(t, p.Do(get("a1")).Err, ErrFull)
@@ -206,7 +206,7 @@
 // TestUnreachable: an address where nobody listens, or nobody answers for as long as a connection may take, is unreachable; a call without
 // that much time says nothing of it.
 func TestUnreachable(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{})
+	s, p := setup(t, faulty.Options{}, Options{})
 	s.Close()
 	must.True(t, p.Do(get("a1")).Unreachable)
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -15,15 +15,15 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
-// setup starts a rude searcher and a pool to it.
+// setup starts a faulty searcher and a pool to it.
 // tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall lacks.
 const tcpUserTimeout = 0x12
 
-func setup(t *testing.T, ro rude.Options, o Options) (*rude.Server, *Pool) {
-	s, err := rude.Start(ro)
+func setup(t *testing.T, ro faulty.Options, o Options) (*faulty.Server, *Pool) {
+	s, err := faulty.Start(ro)
 	must.NoError(t, err)
 	p := NewPool(s.Addr(), o)
 	t.Cleanup(func() { p.Close(); s.Close() })
@@ -56,12 +56,12 @@
 
 // TestStale: an idle connection that ended or spoke up is found out before anything is written to it.
 func TestStale(t *testing.T) {
-	for name, spoil := range map[string]func(*rude.Server) int{
-		"closed": func(s *rude.Server) int { return s.CloseIdle(false) },
-		"reset":  func(s *rude.Server) int { return s.CloseIdle(true) },
-		"spoke":  func(s *rude.Server) int { return s.Say([]byte("HTTP/1.1 408 Timeout\r\n\r\n")) },
+	for name, spoil := range map[string]func(*faulty.Server) int{
+		"closed": func(s *faulty.Server) int { return s.CloseIdle(false) },
+		"reset":  func(s *faulty.Server) int { return s.CloseIdle(true) },
+		"spoke":  func(s *faulty.Server) int { return s.Say([]byte("HTTP/1.1 408 Timeout\r\n\r\n")) },
 	} {
-		s, p := setup(t, rude.Options{}, Options{})
+		s, p := setup(t, faulty.Options{}, Options{})
 		must.Eq(t, Answered, p.Do(get("a1")).Outcome)
 		must.Eq(t, 1, spoil(s), must.Sprint(name))
 		heard(t, p)
@@ -74,9 +74,9 @@
 }
 
 // busy sends n requests that stay at work until release is called, and gives a channel of their answers.
-func busy(t *testing.T, s *rude.Server, p *Pool, n int) (calls []*Call, answers chan Answer, release func()) {
+func busy(t *testing.T, s *faulty.Server, p *Pool, n int) (calls []*Call, answers chan Answer, release func()) {
 	hold, at := make(chan struct{}), make(chan struct{})
-	s.SetScript(func(rude.Call) rude.Reply { at <- struct{}{}; return rude.Reply{Hold: hold} })
+	s.SetScript(func(faulty.Call) faulty.Reply { at <- struct{}{}; return faulty.Reply{Hold: hold} })
 	answers = make(chan Answer, n)
 	for i := range n {
 		c := get(fmt.Sprint("busy", i))
@@ -92,7 +92,7 @@
 
 // TestBounds: connections are never more than may be, the last used goes first, and the others age out.
 func TestBounds(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{ConnMost: 3})
+	s, p := setup(t, faulty.Options{}, Options{ConnMost: 3})
 	_, answers, release := busy(t, s, p, 3)
 	a := p.Do(get("a1"))
 	must.Eq(t, NoConnect, a.Outcome)
@@ -126,20 +126,20 @@
 }
 
 func TestIdleEnds(t *testing.T) {
-	s, p := setup(t, rude.Options{KeepAliveS: 1}, Options{IdleMost: time.Hour})
+	s, p := setup(t, faulty.Options{KeepAliveS: 1}, Options{IdleMost: time.Hour})
 	must.Eq(t, Answered, p.Do(get("a1")).Outcome)
 	eventually(t, func() bool { return p.Open() == 0 }) // by the sweep alone
-	_, p = setup(t, rude.Options{}, Options{IdleMost: 20 * time.Millisecond})
+	_, p = setup(t, faulty.Options{}, Options{IdleMost: 20 * time.Millisecond})
 	must.Eq(t, Answered, p.Do(get("a1")).Outcome)
 	eventually(t, func() bool { return p.Open() == 0 })
-	s.SetScript(func(rude.Call) rude.Reply { return rude.Reply{Header: []string{"Keep-Alive: timeout=0"}} })
+	s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Header: []string{"Keep-Alive: timeout=0"}} })
 	p = NewPool(s.Addr(), Options{})
 	must.Eq(t, Answered, p.Do(get("a2")).Outcome)
 	must.Eq(t, 0, p.Open())
 }
 
 func TestRetireAndClose(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{})
+	s, p := setup(t, faulty.Options{}, Options{})
 	must.Eq(t, Answered, p.Do(get("a1")).Outcome)
 	p.Retire()
 	must.Eq(t, 0, p.Open())
@@ -161,7 +161,7 @@
 
 // TestCancel: Do returns, and the searcher sees the connection close and drops the work.
 func TestCancel(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{})
+	s, p := setup(t, faulty.Options{}, Options{})
 	c := get("a0")
 	c.Cancel()
 	a := p.Do(c)
@@ -189,9 +189,11 @@
 
 func TestDeadlines(t *testing.T) {
 	dropped := make(chan struct{})
-	s, p := setup(t, rude.Options{}, Options{})
+	s, p := setup(t, faulty.Options{}, Options{})
 	must.Eq(t, Answered, p.Do(get("a0")).Outcome)
-	s.SetScript(func(rude.Call) rude.Reply { return rude.Reply{Way: rude.Hang, OnDrop: func() { close(dropped) }} })
+	s.SetScript(func(faulty.Call) faulty.Reply {
+		return faulty.Reply{Way: faulty.Hang, OnDrop: func() { close(dropped) }}
+	})
 	c := get("a1")
 	c.Deadline = time.Now().Add(500 * time.Millisecond)
 	a := p.Do(c)
@@ -238,7 +240,7 @@
 }
 
 func TestNoConnect(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{})
+	s, p := setup(t, faulty.Options{}, Options{})
 	s.Close()
 	a := p.Do(get("a1"))
 	must.True(t, a.Outcome == NoConnect && a.NeverRan())
@@ -261,7 +263,7 @@
 	must.True(t, a.Outcome == Cancelled && a.NeverRan())
 	must.Eq(t, 0, p.Open())
 
-	s, p = setup(t, rude.Options{ConnLimit: 1}, Options{})
+	s, p = setup(t, faulty.Options{ConnLimit: 1}, Options{})
 	_, answers, release := busy(t, s, p, 1)
 	a = p.Do(get("a5")) // reset at the door: whether before or after the write is the kernel's affair
 	must.True(t, a.Outcome == NoConnect && !a.Wrote || a.Outcome == Broken && a.Wrote, must.Sprint(a))
@@ -271,7 +273,7 @@
 }
 
 func TestSocketOptions(t *testing.T) {
-	_, p := setup(t, rude.Options{}, Options{})
+	_, p := setup(t, faulty.Options{}, Options{})
 	must.Eq(t, Answered, p.Do(get("a1")).Outcome)
 	must.NoError(t, p.idle[0].raw.Control(func(fd uintptr) {
 		for opt, want := range map[int]int{tcpUserTimeout: 3000, syscall.TCP_NODELAY: 1, syscall.TCP_KEEPIDLE: 2, syscall.TCP_KEEPINTVL: 1} {
@@ -287,13 +289,13 @@
 // TestHammer: whatever a searcher and the callers do at once, an answer is the request's own, nothing is sent twice and
 // no connection is lost count of.
 func TestHammer(t *testing.T) {
-	s, p := setup(t, rude.Options{Capacity: 4, Queue: 2, KeepAliveS: 5}, Options{ConnMost: 12})
-	s.SetScript(func(c rude.Call) rude.Reply {
-		var way rude.Way
-		if n := rand.IntN(60); n <= int(rude.CloseUnsaid) {
-			way = rude.Way(n)
+	s, p := setup(t, faulty.Options{Capacity: 4, Queue: 2, KeepAliveS: 5}, Options{ConnMost: 12})
+	s.SetScript(func(c faulty.Call) faulty.Reply {
+		var way faulty.Way
+		if n := rand.IntN(60); n <= int(faulty.CloseUnsaid) {
+			way = faulty.Way(n)
 		}
-		return rude.Reply{Way: way, Work: time.Duration(rand.IntN(300)) * time.Microsecond}
+		return faulty.Reply{Way: way, Work: time.Duration(rand.IntN(300)) * time.Microsecond}
 	})
 	var all sync.WaitGroup
 	for g := range 16 {
@@ -309,7 +311,7 @@
 				if a.NeverRan() && s.Ledger().Ran(c.AttemptID) > 0 {
 					t.Error("ran though it never did", c.AttemptID, a)
 				}
-				whole := rude.Records(s.ID(), c.Path, 4)
+				whole := faulty.Records(s.ID(), c.Path, 4)
 				if a.Outcome == Answered && a.Status == 200 && !bytes.HasPrefix(whole, a.Body) {
 					t.Error("another's answer", c.AttemptID, a)
 				}
--- a/internal/upstream/wire_test.go
+++ b/internal/upstream/wire_test.go
@@ -8,18 +8,18 @@
 
 	"github.com/shoenig/test/must"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 // TestWire: nothing goes out that need not, and nothing that would change the request.
 func TestWire(t *testing.T) {
-	calls := make(chan rude.Call, 1)
-	s, p := setup(t, rude.Options{ID: "i-9", ScriptProbes: true, Script: func(c rude.Call) rude.Reply { calls <- c; return rude.Reply{} }}, Options{})
+	calls := make(chan faulty.Call, 1)
+	s, p := setup(t, faulty.Options{ID: "i-9", ScriptProbes: true, Script: func(c faulty.Call) faulty.Reply { calls <- c; return faulty.Reply{} }}, Options{})
 	a := p.Do(get("a1"))
 	got := <-calls
 	must.Eq(t, Answered, a.Outcome)
-	must.Eq(t, string(rude.Records("i-9", "/p/a1", 4)), string(a.Body))
-	must.Eq(t, rude.Seal("i-9", "a1"), a.Seal)
+	must.Eq(t, string(faulty.Records("i-9", "/p/a1", 4)), string(a.Body))
+	must.Eq(t, faulty.Seal("i-9", "a1"), a.Seal)
 	must.Eq(t, "GET /p/a1 HTTP/1.1\nHost: h.example\nAttempt-Id: a1\n", got.Head)
 	must.True(t, a.Fresh && a.Wrote && a.Idle == 0)
 
@@ -51,7 +51,7 @@
 }
 
 func TestUnsendable(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{})
+	s, p := setup(t, faulty.Options{}, Options{})
 	for _, change := range []func(c *Call){
 		func(c *Call) { c.Path = "/a\r\nX: y" },
 		func(c *Call) { c.Path = "/a HTTP/1.1" },
@@ -77,41 +77,41 @@
 
 // TestWays: what becomes of a request in the searcher's hands, and of the connection, on a new one and a used one.
 func TestWays(t *testing.T) {
-	for way, c := range map[rude.Way]struct {
+	for way, c := range map[faulty.Way]struct {
 		want Outcome
 		ran  int
 		keep bool
 	}{
-		rude.Good:        {Answered, 1, true},
-		rude.Chunked:     {Answered, 1, true},
-		rude.Trickle:     {Answered, 1, true},
-		rude.CloseUnsaid: {Answered, 1, true}, // found out by the next call
-		rude.CloseAfter:  {Answered, 1, false},
-		rude.Surplus:     {Answered, 1, false},
-		rude.ExtraNow:    {Answered, 1, false},
-		rude.ShortLength: {Answered, 1, false},
-		rude.Refuse:      {NotExecuted, 0, true},
-		rude.Wrong421:    {NotExecuted, 0, true},
-		rude.ResetUnrun:  {Broken, 0, false},
-		rude.ResetRun:    {Broken, 1, false},
-		rude.CloseRun:    {Broken, 1, false},
-		rude.CutHead:     {Broken, 1, false},
-		rude.CutBody:     {Broken, 1, false},
-		rude.Spoil:       {Garbled, 1, false},
-		rude.WrongID:     {Garbled, 1, false},
-		rude.NoID:        {Garbled, 1, false},
-		rude.NoSeal:      {Garbled, 1, false},
-		rude.BadChunks:   {Garbled, 1, false},
-		rude.BothLengths: {Garbled, 1, false},
-		rude.NoLength:    {Garbled, 1, false},
-		rude.UntilClose:  {Garbled, 1, false},
+		faulty.Good:        {Answered, 1, true},
+		faulty.Chunked:     {Answered, 1, true},
+		faulty.Trickle:     {Answered, 1, true},
+		faulty.CloseUnsaid: {Answered, 1, true}, // found out by the next call
+		faulty.CloseAfter:  {Answered, 1, false},
+		faulty.Surplus:     {Answered, 1, false},
+		faulty.ExtraNow:    {Answered, 1, false},
+		faulty.ShortLength: {Answered, 1, false},
+		faulty.Refuse:      {NotExecuted, 0, true},
+		faulty.Wrong421:    {NotExecuted, 0, true},
+		faulty.ResetUnrun:  {Broken, 0, false},
+		faulty.ResetRun:    {Broken, 1, false},
+		faulty.CloseRun:    {Broken, 1, false},
+		faulty.CutHead:     {Broken, 1, false},
+		faulty.CutBody:     {Broken, 1, false},
+		faulty.Spoil:       {Garbled, 1, false},
+		faulty.WrongID:     {Garbled, 1, false},
+		faulty.NoID:        {Garbled, 1, false},
+		faulty.NoSeal:      {Garbled, 1, false},
+		faulty.BadChunks:   {Garbled, 1, false},
+		faulty.BothLengths: {Garbled, 1, false},
+		faulty.NoLength:    {Garbled, 1, false},
+		faulty.UntilClose:  {Garbled, 1, false},
 	} {
 		for _, used := range []bool{false, true} {
-			s, p := setup(t, rude.Options{TellLoad: true}, Options{})
+			s, p := setup(t, faulty.Options{TellLoad: true}, Options{})
 			if used {
 				must.Eq(t, Answered, p.Do(get("a0")).Outcome)
 			}
-			s.SetScript(func(rude.Call) rude.Reply { return rude.Reply{Way: way} })
+			s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Way: way} })
 			a := p.Do(get("a1"))
 			must.Eq(t, c.want, a.Outcome, must.Sprint(way, used, a.Err))
 			must.Eq(t, c.want == Answered || c.want == NotExecuted, a.Err == nil)
@@ -124,14 +124,14 @@
 			must.True(t, a.Outcome != Answered || a.HasLoad)
 		}
 	}
-	s, p := setup(t, rude.Options{}, Options{})
-	s.SetScript(func(rude.Call) rude.Reply { return rude.Reply{Way: rude.RefuseNoID} })
+	s, p := setup(t, faulty.Options{}, Options{})
+	s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Way: faulty.RefuseNoID} })
 	must.Eq(t, NotExecuted, p.Do(get("a1")).Outcome) // nothing came before it
 	must.Eq(t, Garbled, p.Do(get("a2")).Outcome)
 	c := get("a3")
 	c.Target = "i-other"
 	must.Eq(t, NotExecuted, p.Do(c).Outcome)
-	s.SetScript(func(rude.Call) rude.Reply { return rude.Reply{Status: 500} })
+	s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Status: 500} })
 	a := p.Do(get("a4"))
 	must.Eq(t, Answered, a.Outcome)
 	must.Eq(t, 500, a.Status)
@@ -139,9 +139,9 @@
 
 // TestExtraLate: an earlier request's second answer, where the next one is due, is nobody's.
 func TestExtraLate(t *testing.T) {
-	s, p := setup(t, rude.Options{}, Options{})
-	s.SetScript(func(c rude.Call) rude.Reply {
-		return rude.Reply{Way: map[bool]rude.Way{true: rude.ExtraLate}[c.AttemptID == "a1"]}
+	s, p := setup(t, faulty.Options{}, Options{})
+	s.SetScript(func(c faulty.Call) faulty.Reply {
+		return faulty.Reply{Way: map[bool]faulty.Way{true: faulty.ExtraLate}[c.AttemptID == "a1"]}
 	})
 	must.Eq(t, Answered, p.Do(get("a1")).Outcome)
 	must.Eq(t, Garbled, p.Do(get("a2")).Outcome)
--- a/lab/soak/budget.go
+++ b/lab/soak/budget.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 // further is an arrival at a service beyond what its requests give it: past the first of a request that is meant for it, or of one that
@@ -40,7 +40,7 @@
 
 // judgeBudget: in each window each service gets no more arrivals past the first of each request than the budget allows. What is sent to an
 // address that has gone to another service counts there, from the first of a request on: its own requests allow nothing for it.
-func (r *run) judgeBudget(entries []rude.Entry, services map[string]string, sent map[string]*try) {
+func (r *run) judgeBudget(entries []faulty.Entry, services map[string]string, sent map[string]*try) {
 	all := r.arrivals(entries, services, sent)
 	out, err := os.Create(filepath.Join(r.options.Dir, "budget.txt"))
 	if err != nil {
@@ -60,7 +60,7 @@
 }
 
 // arrivals sorts what the searchers read by service.
-func (r *run) arrivals(entries []rude.Entry, services map[string]string, sent map[string]*try) map[string]*arrivals {
+func (r *run) arrivals(entries []faulty.Entry, services map[string]string, sent map[string]*try) map[string]*arrivals {
 	all := map[string]*arrivals{}
 	of := func(service string) *arrivals {
 		if all[service] == nil {
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -17,7 +17,7 @@
 
 	"github.com/go-faster/errors"
 
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 const (
@@ -90,7 +90,7 @@
 // send sends so many requests a second till ctx ends, and waits for those under way.
 func (l *load) send(ctx context.Context, rate int) {
 	defer l.sessions.close()
-	berths.Send(ctx, rate, l.one)
+	localsystem.Send(ctx, rate, l.one)
 }
 
 // inHandMost bounds the requests under way: before fronts that stand still they pile up, and each takes three descriptors of this process.
@@ -137,7 +137,7 @@
 	ctx, stop := context.WithTimeout(ctx, span)
 	defer stop()
 	first := int(l.bursts.Add(1)) * burstNumbers
-	berths.Send(ctx, burstRate, func(n int) { l.one(first + n) })
+	localsystem.Send(ctx, burstRate, func(n int) { l.one(first + n) })
 }
 
 // pick chooses a front as the platform does: one that is ready, if any is.
@@ -238,7 +238,7 @@
 	if t.kind == "fan" {
 		missing, err = l.judgeFan(t, h, body)
 	} else {
-		err = berths.RightSingle(l.run.idsOf(single), t.id, t.path, h, body)
+		err = localsystem.RightSingle(l.run.idsOf(single), t.id, t.path, h, body)
 	}
 	if err != nil {
 		return err.Error()
--- a/lab/soak/endings.go
+++ b/lab/soak/endings.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"peathollow/internal/standin/berths"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
+	"peathollow/internal/standin/localsystem"
 )
 
 const (
@@ -15,7 +15,7 @@
 	horizonSlack = 500 * time.Millisecond
 	handedSlack  = 500 * time.Millisecond // by which a deadline handed on may exceed the client's
 	fewMost      = 3
-	graceOfRun   = berths.Grace
+	graceOfRun   = localsystem.Grace
 	graceSlack   = time.Second
 	excusedFor   = 3 * time.Second // after SIGTERM: what is sent later has to be finished whatever its searcher does
 	lateLeast    = 8
@@ -25,7 +25,7 @@
 // endings is what judges how tries ended.
 type endings struct {
 	run     *run
-	entries map[string][]*rude.Entry // by Attempt-Id
+	entries map[string][]*faulty.Entry // by Attempt-Id
 
 	lateArrivals      int
 	abandoned, worked int // runs for clients that left, and those of them that went on
@@ -35,8 +35,8 @@
 
 // judgeEndings looks at each try of a front in touch: none is lost, none is worked at for nobody, none is held too long, and
 // none is handed on with more time than it has.
-func (r *run) judgeEndings(entries []rude.Entry) {
-	j := endings{run: r, entries: map[string][]*rude.Entry{}}
+func (r *run) judgeEndings(entries []faulty.Entry) {
+	j := endings{run: r, entries: map[string][]*faulty.Entry{}}
 	for i := range entries {
 		e := &entries[i]
 		j.entries[e.ID] = append(j.entries[e.ID], e)
@@ -102,13 +102,13 @@
 	if len(entries) == 0 && t.took <= lossSlack {
 		return // it crossed the close
 	}
-	if slices.ContainsFunc(entries, func(e *rude.Entry) bool { return !j.sound(e, end) }) {
+	if slices.ContainsFunc(entries, func(e *faulty.Entry) bool { return !j.sound(e, end) }) {
 		return
 	}
 	j.run.violated("lost: %s at front %d, with %d arrivals, after %v: %s", t.id, t.front, len(entries), t.took.Round(time.Millisecond), t.fault)
 }
 
-func (j *endings) sound(e *rude.Entry, until time.Time) bool {
+func (j *endings) sound(e *faulty.Entry, until time.Time) bool {
 	s := j.run.searcherOf(e.Searcher)
 	return s != nil && s.soundAt(until)
 }
--- a/lab/soak/explain.go
+++ b/lab/soak/explain.go
@@ -10,8 +10,8 @@
 	"path/filepath"
 	"strings"
 
-	"peathollow/internal/standin/berths"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
+	"peathollow/internal/standin/localsystem"
 )
 
 // explain looks for each try that a front answered with a failure in the front's log, and writes down all requests that
@@ -51,7 +51,7 @@
 }
 
 // writeLedger writes down what each searcher read, in order.
-func (r *run) writeLedger(entries []rude.Entry, services map[string]string) {
+func (r *run) writeLedger(entries []faulty.Entry, services map[string]string) {
 	out, err := os.Create(filepath.Join(r.options.Dir, "ledger.txt"))
 	if err != nil {
 		return
@@ -67,7 +67,7 @@
 }
 
 // figures reads what a process tells of itself; "" if it says nothing.
-func (r *run) figures(ctx context.Context, p *berths.Process) string {
+func (r *run) figures(ctx context.Context, p *localsystem.Process) string {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.Metrics, nil)
 	if err != nil {
 		return ""
--- a/lab/soak/fronts.go
+++ b/lab/soak/fronts.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"peathollow/internal/periodic"
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 // front is a front machine as clients and the platform see it.
@@ -30,7 +30,7 @@
 	defer t.Stop()
 	misses := 0
 	for {
-		if berths.Status(ctx, r.probes, "http://"+r.system.Ready[i]+"/ready", "") == http.StatusOK {
+		if localsystem.Status(ctx, r.probes, "http://"+r.system.Ready[i]+"/ready", "") == http.StatusOK {
 			misses = 0
 			r.fronts[i].in.Store(true)
 		} else if misses++; misses >= missesMost {
@@ -69,7 +69,7 @@
 		return
 	}
 	id := r.probeID()
-	status := berths.Status(ctx, r.probes, "http://"+r.system.Fronts[i]+versionPath(version)+"x", id)
+	status := localsystem.Status(ctx, r.probes, "http://"+r.system.Fronts[i]+versionPath(version)+"x", id)
 	if int64(r.process(r.proxyName(i)).Lives()) != life {
 		return
 	}
--- a/lab/soak/hangup.go
+++ b/lab/soak/hangup.go
@@ -4,17 +4,17 @@
 	"syscall"
 	"time"
 
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 // hangUp tells a process that its settings have changed.
-func hangUp(p *berths.Process) {
+func hangUp(p *localsystem.Process) {
 	awaitSay(p, syscall.SIGHUP)
 	p.Signal(syscall.SIGHUP)
 }
 
 // awaitSay waits until a process has a say in what a SIGHUP does to it: from its exec until its loader is through no program has.
-func awaitSay(p *berths.Process, s syscall.Signal) {
+func awaitSay(p *localsystem.Process, s syscall.Signal) {
 	if s != syscall.SIGHUP {
 		return
 	}
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 )
 
 // The bounds that the settings of a run name, or their defaults.
@@ -62,7 +62,7 @@
 }
 
 // judgeArrival looks at one request that a searcher read.
-func (r *run) judgeArrival(e *rude.Entry, t *try, service string) {
+func (r *run) judgeArrival(e *faulty.Entry, t *try, service string) {
 	if t == nil {
 		if e.ID == "" || !r.isProbe(e.ID) {
 			r.violated("unasked: searcher %s got %s %s with id %q", e.Searcher, e.Method, e.Path, e.ID)
@@ -76,7 +76,7 @@
 }
 
 // judgeDrain: a searcher gets nothing from a front in touch once its time after the acknowledgement that it leaves is over.
-func (r *run) judgeDrain(e *rude.Entry, t *try) {
+func (r *run) judgeDrain(e *faulty.Entry, t *try) {
 	s := r.searcherOf(e.Searcher)
 	if s == nil || s.acked.Load() == 0 || !e.Ran {
 		return
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -18,7 +18,7 @@
 
 	"peathollow/internal/invariant"
 	"peathollow/internal/keepalive"
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 const (
@@ -36,7 +36,7 @@
 type run struct {
 	options  Options
 	schedule Schedule
-	system   *berths.System
+	system   *localsystem.System
 	network  *network
 	ctx      context.Context // of all trouble
 
@@ -48,9 +48,9 @@
 	probes        *http.Client
 	probeNumber   atomic.Int64
 	places        atomic.Int64
-	births        atomic.Int64      // of searchers: each life has an id of its own
-	locks         []sync.Mutex      // by process
-	active        []*berths.Process // those that are not gone for good or still to come; under the lock mu
+	births        atomic.Int64           // of searchers: each life has an id of its own
+	locks         []sync.Mutex           // by process
+	active        []*localsystem.Process // those that are not gone for good or still to come; under the lock mu
 
 	mu         sync.Mutex
 	searchers  []*searcher
@@ -138,7 +138,7 @@
 	}
 	r.through = through
 	env := []string{invariant.FatalVariable + "=fatal", "PEATHOLLOW_LOG=info"}
-	r.system, err = berths.Launch(berths.Options{Program: r.options.Program, Env: env, Controllers: r.schedule.Shape.Controllers,
+	r.system, err = localsystem.Launch(localsystem.Options{Program: r.options.Program, Env: env, Controllers: r.schedule.Shape.Controllers,
 		Fronts: r.schedule.Shape.Fronts, Spares: r.schedule.Shape.Spares, Dir: r.options.Dir, Relay: through,
 		Settings: fmt.Sprintf("bounds.drain-ms=%d\nbounds.reuse-delay-s=%g\nbounds.retry-ratio=%g\nbounds.retry-window-s=%g\nbounds.retry-slack=%d", drainTime.Milliseconds(),
 			reuseDelay.Seconds(), retryRatio, retryWindow.Seconds(), r.schedule.Shape.RetrySlack)})
@@ -292,7 +292,7 @@
 }
 
 // process finds a process by its name.
-func (r *run) process(name string) *berths.Process {
+func (r *run) process(name string) *localsystem.Process {
 	for _, p := range r.system.Processes {
 		if p.Name == name {
 			return p
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"peathollow/internal/standin/berths"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
+	"peathollow/internal/standin/localsystem"
 )
 
 const (
@@ -29,7 +29,7 @@
 
 // searcher is one life of a searcher, at an address that outlives it.
 type searcher struct {
-	*berths.Searcher
+	*localsystem.Searcher
 	place *place
 	acked atomic.Int64 // when it was acknowledged that it leaves, in Unix nanoseconds
 	ill   atomic.Int64 // since when it may break off what it was given
@@ -55,8 +55,8 @@
 	if p == nil {
 		p = &place{address: r.system.Place(int(r.places.Add(1)))}
 	}
-	b, err := berths.NewSearcher(berths.SearcherOptions{Service: service, Zone: zoneName(rand.IntN(zones)), Control: r.searcherDoors,
-		Period: beatEvery, Server: rude.Options{Addr: p.address, ID: fmt.Sprintf("i-%d-%d", r.options.Seed, r.births.Add(1)), Ledger: r.system.Ledger, Capacity: capacity, Queue: queueMost, Script: work, TellLoad: true}})
+	b, err := localsystem.NewSearcher(localsystem.SearcherOptions{Service: service, Zone: zoneName(rand.IntN(zones)), Control: r.searcherDoors,
+		Period: beatEvery, Server: faulty.Options{Addr: p.address, ID: fmt.Sprintf("i-%d-%d", r.options.Seed, r.births.Add(1)), Ledger: r.system.Ledger, Capacity: capacity, Queue: queueMost, Script: work, TellLoad: true}})
 	if err != nil {
 		return nil, err
 	}
@@ -71,11 +71,11 @@
 func zoneName(i int) string { return []string{"zone-0", "zone-1", "zone-2"}[i] }
 
 // work takes a few milliseconds for most requests.
-func work(c rude.Call) rude.Reply {
+func work(c faulty.Call) faulty.Reply {
 	if strings.Contains(c.Path, longMark) {
-		return rude.Reply{Work: longWork}
+		return faulty.Reply{Work: longWork}
 	}
-	return rude.Reply{Work: rand.N(workMost)}
+	return faulty.Reply{Work: rand.N(workMost)}
 }
 
 // idsOf gives the searchers that a service ever had.
@@ -193,12 +193,12 @@
 // misbehave has a searcher break the protocol in some ways for a while.
 func (r *run) misbehave(s *searcher, span time.Duration, choice int) {
 	// ShortLength is left out: an answer that is whole by its length is one, and nobody can know better.
-	ways := []rude.Way{rude.Refuse, rude.RefuseNoID, rude.ResetUnrun, rude.ResetRun, rude.CloseRun, rude.CutHead, rude.CutBody, rude.Spoil,
-		rude.WrongID, rude.NoID, rude.NoSeal, rude.Trickle, rude.Chunked, rude.BadChunks, rude.BothLengths, rude.NoLength, rude.UntilClose,
-		rude.Surplus, rude.ExtraNow, rude.ExtraLate, rude.CloseAfter, rude.CloseUnsaid, rude.Hang}
+	ways := []faulty.Way{faulty.Refuse, faulty.RefuseNoID, faulty.ResetUnrun, faulty.ResetRun, faulty.CloseRun, faulty.CutHead, faulty.CutBody, faulty.Spoil,
+		faulty.WrongID, faulty.NoID, faulty.NoSeal, faulty.Trickle, faulty.Chunked, faulty.BadChunks, faulty.BothLengths, faulty.NoLength, faulty.UntilClose,
+		faulty.Surplus, faulty.ExtraNow, faulty.ExtraLate, faulty.CloseAfter, faulty.CloseUnsaid, faulty.Hang}
 	s.fallIll()
-	some := []rude.Way{ways[choice%len(ways)], ways[choice/len(ways)%len(ways)], rude.Good}
-	r.play(s, span, func(c rude.Call) rude.Reply {
+	some := []faulty.Way{ways[choice%len(ways)], ways[choice/len(ways)%len(ways)], faulty.Good}
+	r.play(s, span, func(c faulty.Call) faulty.Reply {
 		reply := work(c)
 		reply.Way = some[rand.IntN(len(some))]
 		return reply
@@ -206,7 +206,7 @@
 }
 
 // play has a searcher go by a script for a while, then be as it was.
-func (r *run) play(s *searcher, span time.Duration, script func(rude.Call) rude.Reply) {
+func (r *run) play(s *searcher, span time.Duration, script func(faulty.Call) faulty.Reply) {
 	s.SetScript(script)
 	r.pause(span)
 	s.SetScript(work)
@@ -215,7 +215,7 @@
 
 // slowDown has a searcher work many times as long for a while.
 func (r *run) slowDown(s *searcher, span time.Duration) {
-	r.play(s, span, func(c rude.Call) rude.Reply {
+	r.play(s, span, func(c faulty.Call) faulty.Reply {
 		reply := work(c)
 		reply.Work *= slowTimes
 		return reply
@@ -224,7 +224,7 @@
 
 // fail has a searcher fail some of its requests for a while, as one that feels well.
 func (r *run) fail(s *searcher, span time.Duration) {
-	r.play(s, span, func(c rude.Call) rude.Reply {
+	r.play(s, span, func(c faulty.Call) faulty.Reply {
 		reply := work(c)
 		if rand.IntN(failEvery) == 0 {
 			reply.Status = http.StatusInternalServerError
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"peathollow/internal/standin/berths"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
+	"peathollow/internal/standin/localsystem"
 )
 
 // TestScheduleOfASeed: a seed draws one schedule; other seeds draw others, and every kind comes.
@@ -49,15 +49,15 @@
 // judged is a run with nothing but what clients sent and searchers saw.
 func judged(t *testing.T) (*run, *searcher) {
 	t.Helper()
-	r := &run{system: &berths.System{Ledger: &rude.Ledger{}}, struck: map[*searcher]bool{}, began: time.Now()}
+	r := &run{system: &localsystem.System{Ledger: &faulty.Ledger{}}, struck: map[*searcher]bool{}, began: time.Now()}
 	r.options.Dir = t.TempDir()
 	r.schedule.Shape = (&Options{}).shape(Shape{})
 	r.load = &load{run: r}
 	r.operators = &operators{run: r}
-	server, err := rude.Start(rude.Options{ID: "i-1", Ledger: r.system.Ledger})
+	server, err := faulty.Start(faulty.Options{ID: "i-1", Ledger: r.system.Ledger})
 	must.NoError(t, err)
 	t.Cleanup(server.Close)
-	b, err := berths.NewSearcher(berths.SearcherOptions{Service: single, Control: []string{"127.0.0.1:1"}, Period: time.Hour, Server: rude.Options{ID: "i-2", Ledger: r.system.Ledger}})
+	b, err := localsystem.NewSearcher(localsystem.SearcherOptions{Service: single, Control: []string{"127.0.0.1:1"}, Period: time.Hour, Server: faulty.Options{ID: "i-2", Ledger: r.system.Ledger}})
 	must.NoError(t, err)
 	t.Cleanup(b.Close)
 	s := &searcher{Searcher: b}
@@ -115,10 +115,10 @@
 			}
 		},
 		"over budget: " + single + " got": func(t *testing.T, r *run, s *searcher) { // strays, each from another request
-			meant, err := rude.Start(rude.Options{ID: "i-moved"})
+			meant, err := faulty.Start(faulty.Options{ID: "i-moved"})
 			must.NoError(t, err)
 			t.Cleanup(meant.Close)
-			r.searchers = append(r.searchers, &searcher{Searcher: berths.Stand(meant, shard(0, 0))})
+			r.searchers = append(r.searchers, &searcher{Searcher: localsystem.Stand(meant, shard(0, 0))})
 			q := &request{}
 			r.load.requests = []*request{q}
 			for i := range slackUsual + 1 {
@@ -245,7 +245,7 @@
 	for n := 3; n <= 5; n++ {
 		r := &run{}
 		for i := range n {
-			r.active = append(r.active, &berths.Process{Role: "controller", Machine: fmt.Sprint("core-", i)})
+			r.active = append(r.active, &localsystem.Process{Role: "controller", Machine: fmt.Sprint("core-", i)})
 		}
 		for choice := range 64 {
 			cut := r.halves(choice)
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"peathollow/internal/standin/berths"
+	"peathollow/internal/standin/localsystem"
 )
 
 const (
@@ -67,13 +67,13 @@
 	return func(machine string) bool { return machine == struck }
 }
 
-func (r *run) oneOf(choice int) *berths.Process {
+func (r *run) oneOf(choice int) *localsystem.Process {
 	all := r.present("")
 	return all[choice%len(all)]
 }
 
 // present gives the processes that are there, of one role or of all.
-func (r *run) present(role string) (all []*berths.Process) {
+func (r *run) present(role string) (all []*localsystem.Process) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.active {
@@ -86,13 +86,13 @@
 
 func (r *run) machine(choice int) string { return r.oneOf(choice).Machine }
 
-func (r *run) controller(choice int) *berths.Process {
+func (r *run) controller(choice int) *localsystem.Process {
 	all := r.present("controller")
 	return all[choice%len(all)]
 }
 
 // ofMachine gives a machine's processes.
-func (r *run) ofMachine(machine string) (all []*berths.Process) {
+func (r *run) ofMachine(machine string) (all []*localsystem.Process) {
 	for _, p := range r.present("") {
 		if p.Machine == machine {
 			all = append(all, p)
@@ -183,7 +183,7 @@
 }
 
 // kill kills processes at the same moment and starts them again; between runs meanwhile.
-func (r *run) kill(down time.Duration, between func(), all ...*berths.Process) {
+func (r *run) kill(down time.Duration, between func(), all ...*localsystem.Process) {
 	held := r.hold(all)
 	defer held.release()
 	for _, p := range all {
@@ -199,7 +199,7 @@
 	r.startAll(all)
 }
 
-func (r *run) startAll(all []*berths.Process) {
+func (r *run) startAll(all []*localsystem.Process) {
 	for _, p := range all {
 		r.ending(p)
 		if err := p.Start(); err != nil {
@@ -209,14 +209,14 @@
 }
 
 // ending looks at how a life ended.
-func (r *run) ending(p *berths.Process) {
+func (r *run) ending(p *localsystem.Process) {
 	if err := p.Fault(); err != nil {
 		r.violated("ended by itself: %v", err)
 	}
 }
 
 // freeze stops processes and lets them go on.
-func (r *run) freeze(span time.Duration, all ...*berths.Process) {
+func (r *run) freeze(span time.Duration, all ...*localsystem.Process) {
 	held := r.hold(all)
 	defer held.release()
 	for _, p := range all {
@@ -229,8 +229,8 @@
 }
 
 // terminate stops a process in order, with a second SIGTERM after a while if one is given, and starts it again.
-func (r *run) terminate(p *berths.Process, again time.Duration) {
-	held := r.hold([]*berths.Process{p})
+func (r *run) terminate(p *localsystem.Process, again time.Duration) {
+	held := r.hold([]*localsystem.Process{p})
 	defer held.release()
 	p.Signal(syscall.SIGTERM)
 	if again > 0 {
@@ -244,13 +244,13 @@
 		p.Kill()
 	}
 	r.pause(startDelay)
-	r.startAll([]*berths.Process{p})
+	r.startAll([]*localsystem.Process{p})
 }
 
 // early sends a signal to a process that has just been started.
-func (r *run) early(p *berths.Process, s syscall.Signal, chance int) {
+func (r *run) early(p *localsystem.Process, s syscall.Signal, chance int) {
 	r.kill(startDelay, nil, p)
-	held := r.hold([]*berths.Process{p})
+	held := r.hold([]*localsystem.Process{p})
 	defer held.release()
 	awaitSay(p, s)
 	time.Sleep(time.Duration(chance) * time.Microsecond % earlySignalAt)
@@ -264,12 +264,12 @@
 		r.violated("did not end: %s, %v after an early SIGTERM", p.Name, graceTime)
 		p.Kill()
 	}
-	r.startAll([]*berths.Process{p})
+	r.startAll([]*localsystem.Process{p})
 }
 
 // torn has a process told that its settings have changed while the file is half written, then gone.
-func (r *run) torn(p *berths.Process) {
-	held := r.hold([]*berths.Process{p}) // nobody starts it meanwhile
+func (r *run) torn(p *localsystem.Process) {
+	held := r.hold([]*localsystem.Process{p}) // nobody starts it meanwhile
 	defer held.release()
 	whole, err := os.ReadFile(p.Conf)
 	if err != nil {
@@ -291,7 +291,7 @@
 // wipe kills a controller, alone or with all other processes, and has its disk lost.
 func (r *run) wipe(t Trouble) {
 	p := r.controller(t.One)
-	all := []*berths.Process{p}
+	all := []*localsystem.Process{p}
 	if t.Kind == WipeAndKillAll {
 		all = r.present("")
 	}
@@ -303,14 +303,14 @@
 }
 
 // replaceCore has a controller go for good and an empty one come at another address.
-func (r *run) replaceCore(p *berths.Process) {
-	held := r.hold([]*berths.Process{p})
+func (r *run) replaceCore(p *localsystem.Process) {
+	held := r.hold([]*localsystem.Process{p})
 	defer held.release()
 	p.Kill()
 	r.pause(startDelay)
 	r.mu.Lock()
 	i := slices.Index(r.active, p)
-	var spare *berths.Process
+	var spare *localsystem.Process
 	for _, x := range r.system.Processes {
 		if x.Role == "controller" && x.Lives() == 0 {
 			spare = x
@@ -323,7 +323,7 @@
 	if i < 0 || spare == nil {
 		return // another trouble has replaced it
 	}
-	r.startAll([]*berths.Process{spare})
+	r.startAll([]*localsystem.Process{spare})
 }
 
 // storm sends configurations in quick succession.
@@ -339,7 +339,7 @@
 type held struct{ locks []*sync.Mutex }
 
 // hold waits until no other trouble has any of the processes, in one order for all.
-func (r *run) hold(all []*berths.Process) held {
+func (r *run) hold(all []*localsystem.Process) held {
 	var h held
 	for i, p := range r.system.Processes {
 		for _, x := range all {
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -13,7 +13,7 @@
 
 	"peathollow/distribution"
 	"peathollow/internal/settings"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/manifest"
 	"peathollow/registry"
 )
@@ -35,7 +35,7 @@
 	}
 	board.Put(m)
 	for i := range shards {
-		s, err := rude.Start(rude.Options{ID: fmt.Sprint("i", i), Capacity: 64, Queue: 1000})
+		s, err := faulty.Start(faulty.Options{ID: fmt.Sprint("i", i), Capacity: 64, Queue: 1000})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/proxy/client_test.go
+++ b/proxy/client_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 	"peathollow/registry"
 )
 
@@ -21,7 +21,7 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	heads := make(chan string, 9)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply { heads <- c.Head; return rude.Reply{} }})
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply { heads <- c.Head; return faulty.Reply{} }})
 	r.Put(rig.Route{Prefix: "/", Plant: "s"})
 	for _, q := range []rig.Request{
 		{Path: "/a/%2e%2E//b/../c;p=1?x=%20&&y"}, {Method: "DELETE", Path: "//"}, {Method: "M-SEARCH", Path: "/" + strings.Repeat("x", 9000)},
@@ -47,7 +47,7 @@
 func TestSmuggled(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	r.Searcher("s", rude.Options{})
+	r.Searcher("s", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/", Plant: "s"})
 	inner := "0\r\n\r\nGET /inner HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: evil\r\nDeadline-Ms: 900\r\n\r\n"
 	for name, lines := range map[string][]string{
@@ -75,8 +75,8 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	r.Limits.Body = 1000
-	r.Searcher("s", rude.Options{})
-	r.Searcher("t", rude.Options{})
+	r.Searcher("s", faulty.Options{})
+	r.Searcher("t", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/a/", Plant: "s"}, rig.Route{Name: "deeper", Prefix: "/a/b/", Plant: "t"})
 	for _, c := range []struct {
 		q      rig.Request
@@ -114,7 +114,7 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	r.Limits.Header = 64 << 10
-	r.Searcher("s", rude.Options{})
+	r.Searcher("s", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/", Plant: "s"})
 	must.Eq(t, 200, r.Do(rig.Request{Path: "/", Header: head(60_000)}).Status)
 	r.Judge()
@@ -140,9 +140,9 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	at, dropped := make(chan string), make(chan bool, 9)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		at <- c.AttemptID
-		return rude.Reply{Hold: make(chan struct{}), OnDrop: func() { dropped <- true }}
+		return faulty.Reply{Hold: make(chan struct{}), OnDrop: func() { dropped <- true }}
 	}})
 	// Nothing but the client's leaving ends them while the test waits.
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent", HorizonMs: 600_000, SetpointMs: 300_000},
@@ -165,11 +165,11 @@
 func TestKept(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		if strings.HasPrefix(c.Path, "/empty") {
-			return rude.Reply{Status: 204, Body: []byte{}}
+			return faulty.Reply{Status: 204, Body: []byte{}}
 		}
-		return rude.Reply{}
+		return faulty.Reply{}
 	}})
 	r.Put(rig.Route{Prefix: "/", Plant: "s"})
 	c := r.Dial()
@@ -190,16 +190,16 @@
 func TestReuse(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	first := r.Searcher("s", rude.Options{})
+	first := r.Searcher("s", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent", Retries: 2})
 	must.Eq(t, 200, r.Do(rig.Request{Path: "/"}).Status)
 	first.Close()
-	r.Searcher("other", rude.Options{Addr: first.Addr()})
+	r.Searcher("other", faulty.Options{Addr: first.Addr()})
 	r.Sync()
 	for range 3 {
 		must.Eq(t, http.StatusServiceUnavailable, r.Do(rig.Request{Path: "/", DeadlineMs: 500}).Status)
 	}
-	second := r.Searcher("s", rude.Options{})
+	second := r.Searcher("s", faulty.Options{})
 	r.Sync()
 	must.Eq(t, 200, r.Do(rig.Request{Path: "/"}).Status)
 	// A list that still names the dead one costs no further requests a try: it will never be back.
@@ -218,7 +218,7 @@
 func TestBodyThatDoesNotCome(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	r.Searcher("s", rude.Options{})
+	r.Searcher("s", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
 	c := r.Dial()
 	defer c.Close()
--- a/proxy/connections_test.go
+++ b/proxy/connections_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 
 	"peathollow/internal/settings"
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 )
 
 // TestConnectionsWithoutEnd: clients that open connections and rest there take up half of the descriptors at most: those that
@@ -18,12 +18,12 @@
 	const descriptors, most, clients = 232, 16, 40
 	r := rig.Start(t, brief, func(s *settings.Settings) { s.FileLimit = descriptors })
 	hold, at := make(chan struct{}), make(chan bool, 1)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		if c.Path == "/held" {
 			at <- true
-			return rude.Reply{Hold: hold}
+			return faulty.Reply{Hold: hold}
 		}
-		return rude.Reply{}
+		return faulty.Reply{}
 	}})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
 	busy := r.Dial()
--- a/proxy/contain_test.go
+++ b/proxy/contain_test.go
@@ -15,7 +15,7 @@
 
 	"peathollow/brain"
 	"peathollow/internal/settings"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/manifest"
 	"peathollow/request"
 )
@@ -33,7 +33,7 @@
 	q.doc.Store(doc)
 	var hosts []request.Host
 	for _, service := range []string{"sick", "sound"} {
-		s, err := rude.Start(rude.Options{ID: "i-" + service, Script: func(rude.Call) rude.Reply { return rude.Reply{Work: 300 * time.Millisecond} }})
+		s, err := faulty.Start(faulty.Options{ID: "i-" + service, Script: func(faulty.Call) faulty.Reply { return faulty.Reply{Work: 300 * time.Millisecond} }})
 		must.NoError(t, err)
 		t.Cleanup(s.Close)
 		hosts = append(hosts, request.Host{ID: s.ID(), Address: s.Addr(), Service: service, State: brain.Ready})
--- a/proxy/gone_test.go
+++ b/proxy/gone_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 )
 
 // held is a proxy before a searcher that works on each request until its connection closes; at is told of each request that it gets,
@@ -17,9 +17,9 @@
 	t.Helper()
 	r = rig.Start(t, brief)
 	at, dropped = make(chan string, 9), make(chan string, 9)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		at <- c.Path
-		return rude.Reply{Hold: make(chan struct{}), OnDrop: func() { dropped <- c.Path }}
+		return faulty.Reply{Hold: make(chan struct{}), OnDrop: func() { dropped <- c.Path }}
 	}})
 	r.Put(rig.Route{Prefix: "/", Plant: "s"})
 	return r, at, dropped
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 )
 
 // TestLeavingFinishesInAShortGrace: whatever the grace is, what ends in its first five sixths is answered. The code before kept
@@ -17,9 +17,9 @@
 	const grace = 2 * time.Second
 	r := rig.Start(t, grace)
 	at := make(chan bool, 1)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		at <- true
-		return rude.Reply{Work: grace * 3 / 4}
+		return faulty.Reply{Work: grace * 3 / 4}
 	}})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
 	c := r.Dial()
--- a/proxy/mixed_test.go
+++ b/proxy/mixed_test.go
@@ -12,33 +12,33 @@
 
 	"github.com/shoenig/test/must"
 
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 )
 
 // brief is the time of grace where nothing is left to do in it.
 const brief = 300 * time.Millisecond
 
 // ways are all in which a searcher's answer can go wrong but for a wrong 421, which costs the searcher its place.
-var ways = map[string]rude.Way{"good": rude.Good, "refuse": rude.Refuse, "refuse without id": rude.RefuseNoID,
-	"reset unrun": rude.ResetUnrun, "reset": rude.ResetRun, "close": rude.CloseRun, "cut head": rude.CutHead,
-	"cut body": rude.CutBody, "spoil": rude.Spoil, "wrong id": rude.WrongID, "no id": rude.NoID, "no seal": rude.NoSeal,
-	"trickle": rude.Trickle, "chunked": rude.Chunked, "bad chunks": rude.BadChunks, "both lengths": rude.BothLengths,
-	"no length": rude.NoLength, "until close": rude.UntilClose, "surplus": rude.Surplus, "extra now": rude.ExtraNow,
-	"extra late": rude.ExtraLate, "close after": rude.CloseAfter, "close unsaid": rude.CloseUnsaid}
+var ways = map[string]faulty.Way{"good": faulty.Good, "refuse": faulty.Refuse, "refuse without id": faulty.RefuseNoID,
+	"reset unrun": faulty.ResetUnrun, "reset": faulty.ResetRun, "close": faulty.CloseRun, "cut head": faulty.CutHead,
+	"cut body": faulty.CutBody, "spoil": faulty.Spoil, "wrong id": faulty.WrongID, "no id": faulty.NoID, "no seal": faulty.NoSeal,
+	"trickle": faulty.Trickle, "chunked": faulty.Chunked, "bad chunks": faulty.BadChunks, "both lengths": faulty.BothLengths,
+	"no length": faulty.NoLength, "until close": faulty.UntilClose, "surplus": faulty.Surplus, "extra now": faulty.ExtraNow,
+	"extra late": faulty.ExtraLate, "close after": faulty.CloseAfter, "close unsaid": faulty.CloseUnsaid}
 
 // whole are those of them that hand over an answer that is to reach the client.
 var whole = []string{"good", "trickle", "chunked", "surplus", "extra now", "extra late", "close after", "close unsaid"}
 
-// atFirst has a searcher rude to the first arrival of each request, wherever that is.
-func atFirst(w rude.Reply) func(rude.Call) rude.Reply {
+// atFirst has a searcher faulty at the first arrival of each request, wherever that is.
+func atFirst(w faulty.Reply) func(faulty.Call) faulty.Reply {
 	var mu sync.Mutex
 	seen := map[string]bool{}
-	return func(c rude.Call) rude.Reply {
+	return func(c faulty.Call) faulty.Reply {
 		mu.Lock()
 		defer mu.Unlock()
 		if seen[c.AttemptID] {
-			return rude.Reply{}
+			return faulty.Reply{}
 		}
 		seen[c.AttemptID] = true
 		return w
@@ -51,10 +51,10 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	var routes []rig.Route
-	replies := map[string]rude.Reply{"encoded": {Header: []string{"Content-Encoding: gzip"}}, "failure": {Status: 500},
+	replies := map[string]faulty.Reply{"encoded": {Header: []string{"Content-Encoding: gzip"}}, "failure": {Status: 500},
 		"late": {Status: 504}}
 	for name, w := range ways {
-		replies[name] = rude.Reply{Way: w}
+		replies[name] = faulty.Reply{Way: w}
 	}
 	for name, reply := range replies {
 		path := strings.ReplaceAll(name, " ", "-")
@@ -62,7 +62,7 @@
 			service, script := path+"-"+mode, atFirst(reply)
 			routes = append(routes, rig.Route{Name: service, Prefix: "/" + mode + "/" + path + "/", Mode: mode, Plant: service, Retries: 3})
 			for range 2 {
-				r.Searcher(service, rude.Options{Script: script})
+				r.Searcher(service, faulty.Options{Script: script})
 			}
 		}
 	}
@@ -105,7 +105,7 @@
 	r := rig.Start(t, brief)
 	for _, status := range []int{408, 429, 503} {
 		s := fmt.Sprint("s", status)
-		r.Searcher(s, rude.Options{Script: func(rude.Call) rude.Reply { return rude.Reply{Status: status} }})
+		r.Searcher(s, faulty.Options{Script: func(faulty.Call) faulty.Reply { return faulty.Reply{Status: status} }})
 	}
 	r.Put(rig.Route{Name: "a", Prefix: "/408/", Mode: "non_idempotent", Plant: "s408"},
 		rig.Route{Name: "b", Prefix: "/429/", Mode: "non_idempotent", Plant: "s429"},
@@ -122,8 +122,8 @@
 func TestHang(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	r.Searcher("s", rude.Options{Script: func(rude.Call) rude.Reply { return rude.Reply{Way: rude.Hang} }})
-	r.Searcher("s", rude.Options{})
+	r.Searcher("s", faulty.Options{Script: func(faulty.Call) faulty.Reply { return faulty.Reply{Way: faulty.Hang} }})
+	r.Searcher("s", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/", Mode: "non_idempotent", Plant: "s", Retries: 2})
 	slow := 0
 	for range 6 {
@@ -145,12 +145,12 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	rec := func(s string) string { return strings.Repeat(s, 16) }
-	bodies := map[string]rude.Reply{"a": {Body: []byte(rec("b") + rec("d") + rec("a") + "short")},
+	bodies := map[string]faulty.Reply{"a": {Body: []byte(rec("b") + rec("d") + rec("a") + "short")},
 		"b": {Body: []byte(rec("d") + rec("c") + rec("d"))}, "c": {Body: []byte("none")},
-		"fails": {Status: 500, Body: []byte(rec("z"))}, "foreign": {Way: rude.WrongID, Body: []byte(rec("z"))},
-		"cut": {Way: rude.CutBody}}
+		"fails": {Status: 500, Body: []byte(rec("z"))}, "foreign": {Way: faulty.WrongID, Body: []byte(rec("z"))},
+		"cut": {Way: faulty.CutBody}}
 	for s, reply := range bodies {
-		r.Searcher(s, rude.Options{Script: func(rude.Call) rude.Reply { return reply }})
+		r.Searcher(s, faulty.Options{Script: func(faulty.Call) faulty.Reply { return reply }})
 	}
 	share := func(f float64) *float64 { return &f }
 	r.Put(rig.Route{Name: "all", Prefix: "/all/", FanOut: []string{"a", "b", "c"}, TopK: 5},
@@ -168,25 +168,25 @@
 	r.Judge()
 }
 
-// TestStorm: all rules at once, from many clients, while searchers are rude at random and break connections, the
+// TestStorm: all rules at once, from many clients, while searchers are faulty at random and break connections, the
 // configuration moves on and some clients leave.
 func TestStorm(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	all := []rude.Way{rude.Hang}
+	all := []faulty.Way{faulty.Hang}
 	for name, w := range ways {
 		if name != "no length" { // its body would never end
 			all = append(all, w)
 		}
 	}
-	var servers []*rude.Server
+	var servers []*faulty.Server
 	for i, s := range []string{"a", "b", "c", "d", "a", "b", "c", "d"} {
 		dice := rand.New(rand.NewPCG(uint64(i), 1))
 		var mu sync.Mutex
-		servers = append(servers, r.Searcher(s, rude.Options{Capacity: 2, Queue: 1, Script: func(rude.Call) rude.Reply {
+		servers = append(servers, r.Searcher(s, faulty.Options{Capacity: 2, Queue: 1, Script: func(faulty.Call) faulty.Reply {
 			mu.Lock()
 			defer mu.Unlock()
-			reply := rude.Reply{Work: time.Duration(dice.IntN(10)) * time.Millisecond}
+			reply := faulty.Reply{Work: time.Duration(dice.IntN(10)) * time.Millisecond}
 			switch n := dice.IntN(12); {
 			case n < 4:
 				reply.Way = all[dice.IntN(len(all))]
--- a/proxy/order_test.go
+++ b/proxy/order_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 	"peathollow/registry"
 )
 
@@ -21,7 +21,7 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	hold, at := make(chan struct{}), make(chan bool, 99)
-	leaving := r.Searcher("s", rude.Options{Script: func(rude.Call) rude.Reply { at <- true; return rude.Reply{Hold: hold} }})
+	leaving := r.Searcher("s", faulty.Options{Script: func(faulty.Call) faulty.Reply { at <- true; return faulty.Reply{Hold: hold} }})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"}, rig.Route{Name: "g", Prefix: "/g/", FanOut: []string{"s"}, TopK: 3})
 	for _, path := range []string{"/", "/g/"} { // two sets of services: both must know
 		c := r.Dial()
@@ -31,7 +31,7 @@
 		defer func() { must.Eq(t, 200, c.Read().Status) }()
 	}
 	defer close(hold)
-	r.Searcher("s", rude.Options{})
+	r.Searcher("s", faulty.Options{})
 	r.Tell("s", leaving.ID(), leaving.Addr(), registry.Draining)
 	r.Sync()
 	for range 20 {
@@ -50,7 +50,7 @@
 	t.Parallel()
 	r := rig.Start(t, brief)
 	hold, at := make(chan struct{}), make(chan bool, 9)
-	s := r.Searcher("s", rude.Options{Script: func(rude.Call) rude.Reply { at <- true; return rude.Reply{Hold: hold} }})
+	s := r.Searcher("s", faulty.Options{Script: func(faulty.Call) faulty.Reply { at <- true; return faulty.Reply{Hold: hold} }})
 	defer close(hold)
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
 	c := r.Dial()
@@ -70,14 +70,14 @@
 	r := rig.Start(t, brief)
 	must.False(t, r.IsReady()) // clients would get nothing here yet
 	hold, at := make(chan struct{}), make(chan bool, 9)
-	r.Searcher("old", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("old", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		if c.Path == "/moves/held" {
 			at <- true
-			return rude.Reply{Hold: hold}
+			return faulty.Reply{Hold: hold}
 		}
-		return rude.Reply{}
+		return faulty.Reply{}
 	}})
-	r.Searcher("new", rude.Options{})
+	r.Searcher("new", faulty.Options{})
 	before := []rig.Route{{Name: "moves", Prefix: "/moves/", Plant: "old"}, {Name: "goes", Prefix: "/goes/", Plant: "old"}}
 	r.Put(before...)
 	must.True(t, r.IsReady())
@@ -96,7 +96,7 @@
 		must.Eq(t, 404, gone.Status)
 		if i == 1 {
 			r.Stale(before...)
-			r.Searcher("new", rude.Options{}) // news, so that Sync sees the proxy take it over
+			r.Searcher("new", faulty.Options{}) // news, so that Sync sees the proxy take it over
 			r.Sync()
 		}
 	}
@@ -112,12 +112,12 @@
 	t.Parallel()
 	r := rig.Start(t, 6*time.Second)
 	hold, at := make(chan struct{}), make(chan bool, 9)
-	r.Searcher("s", rude.Options{Script: func(c rude.Call) rude.Reply {
+	r.Searcher("s", faulty.Options{Script: func(c faulty.Call) faulty.Reply {
 		if c.Path == "/held" {
 			at <- true
-			return rude.Reply{Hold: hold}
+			return faulty.Reply{Hold: hold}
 		}
-		return rude.Reply{}
+		return faulty.Reply{}
 	}})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "non_idempotent"})
 	must.True(t, r.IsReady())
@@ -160,7 +160,7 @@
 			{Name: "g", Prefix: "/g/", FanOut: []string{fmt.Sprint("s", v%2), "t"}, TopK: 4, Coverage: &half, Retries: 2}}
 	}
 	for _, s := range []string{"s0", "s1", "t"} {
-		r.Searcher(s, rude.Options{})
+		r.Searcher(s, faulty.Options{})
 	}
 	r.Put(route(0)...)
 	var stop atomic.Bool
@@ -176,7 +176,7 @@
 		})
 	}
 	for v := range 8 {
-		was := r.Searcher("t", rude.Options{})
+		was := r.Searcher("t", faulty.Options{})
 		r.Put(route(v)...)
 		r.Tell("t", was.ID(), was.Addr(), registry.Draining)
 		r.Sync()
@@ -195,11 +195,11 @@
 func TestRequestsReachNobodyElse(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	first := r.Searcher("s", rude.Options{})
+	first := r.Searcher("s", faulty.Options{})
 	r.Put(rig.Route{Prefix: "/", Plant: "s", Mode: "idempotent", Retries: 2}, rig.Route{Name: "g", Prefix: "/g/", FanOut: []string{"s", "other"}, TopK: 3})
 	must.Eq(t, 200, r.Do(rig.Request{Path: "/"}).Status)
 	first.Close()
-	other := r.Searcher("other", rude.Options{Addr: first.Addr()})
+	other := r.Searcher("other", faulty.Options{Addr: first.Addr()})
 	r.Sync()
 	for range 3 {
 		must.Eq(t, http.StatusServiceUnavailable, r.Do(rig.Request{Path: "/", DeadlineMs: 500}).Status)
@@ -209,7 +209,7 @@
 	}
 	gathered := r.Do(rig.Request{Path: "/g/", DeadlineMs: 500}) // its own part is all that reaches the other service
 	must.LessEq(t, 1, r.Ledger.Arrived(gathered.Of.ID))
-	r.Searcher("s", rude.Options{})
+	r.Searcher("s", faulty.Options{})
 	r.Sync()
 	must.Eq(t, 200, r.Do(rig.Request{Path: "/"}).Status)
 	r.Judge()
--- a/proxy/pools_test.go
+++ b/proxy/pools_test.go
@@ -9,7 +9,7 @@
 
 	"peathollow/brain"
 	"peathollow/internal/settings"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/upstream"
 	"peathollow/manifest"
 	"peathollow/request"
@@ -30,7 +30,7 @@
 			`"setpoint-ms":200,"plant":"s","retries":1}],"plants":[{"name":"s","conn-limit":` + limit + `}]}`
 	}
 	hold, at := make(chan struct{}), make(chan bool)
-	s, err := rude.Start(rude.Options{Capacity: 100, Script: func(rude.Call) rude.Reply { at <- true; return rude.Reply{Hold: hold} }})
+	s, err := faulty.Start(faulty.Options{Capacity: 100, Script: func(faulty.Call) faulty.Reply { at <- true; return faulty.Reply{Hold: hold} }})
 	must.NoError(t, err)
 	defer s.Close()
 	host := request.Host{ID: s.ID(), Address: s.Addr(), Service: "s", State: brain.Ready}
--- a/proxy/restart_test.go
+++ b/proxy/restart_test.go
@@ -13,13 +13,13 @@
 
 	"peathollow/brain"
 	"peathollow/internal/settings"
-	"peathollow/internal/standin/rude"
+	"peathollow/internal/standin/faulty"
 	"peathollow/manifest"
 	"peathollow/request"
 )
 
 // failing is a proxy before two searchers that turn everything away, with a budget of a few further dispatches.
-func failing(t *testing.T) (*Proxy, *rude.Ledger) {
+func failing(t *testing.T) (*Proxy, *faulty.Ledger) {
 	t.Helper()
 	const slack = 8 // of which one life of the only mixer may spend half
 	q := New(&settings.Settings{RetrySlack: slack, RetryWindow: time.Hour, BeatPeriod: time.Second}, "proxy/front-0/0", &log.Logger{Level: log.PanicLevel})
@@ -27,10 +27,10 @@
 		`"horizon-ms":2000,"setpoint-ms":200,"plant":"s","retries":2}],"plants":[{"name":"s"}]}`))
 	must.NoError(t, err)
 	q.doc.Store(doc)
-	ledger := &rude.Ledger{}
+	ledger := &faulty.Ledger{}
 	var hosts []request.Host
 	for range 2 {
-		s, err := rude.Start(rude.Options{Ledger: ledger, Script: func(rude.Call) rude.Reply { return rude.Reply{Way: rude.Refuse} }})
+		s, err := faulty.Start(faulty.Options{Ledger: ledger, Script: func(faulty.Call) faulty.Reply { return faulty.Reply{Way: faulty.Refuse} }})
 		must.NoError(t, err)
 		t.Cleanup(s.Close)
 		hosts = append(hosts, request.Host{ID: s.ID(), Address: s.Addr(), Service: "s", State: brain.Ready})
@@ -44,7 +44,7 @@
 }
 
 // further sends requests and tells how many dispatches past the first of each came of them.
-func further(q *Proxy, ledger *rude.Ledger, name string, requests int) (n int) {
+func further(q *Proxy, ledger *faulty.Ledger, name string, requests int) (n int) {
 	var all sync.WaitGroup
 	for i := range requests {
 		id := fmt.Sprint(name, i)
--- a/proxy/sight_test.go
+++ b/proxy/sight_test.go
@@ -11,8 +11,8 @@
 
 	"peathollow/internal/invariant"
 	"peathollow/internal/settings"
+	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/rig"
-	"peathollow/internal/standin/rude"
 )
 
 func init() { invariant.SetFatal(true) }
@@ -37,7 +37,7 @@
 func TestFailureIsExplained(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	broken := r.Searcher("s", rude.Options{Script: func(rude.Call) rude.Reply { return rude.Reply{Way: rude.CloseRun} }})
+	broken := r.Searcher("s", faulty.Options{Script: func(faulty.Call) faulty.Reply { return faulty.Reply{Way: faulty.CloseRun} }})
 	r.Put(rig.Route{Name: "once", Prefix: "/once/", Plant: "s", Mode: "non_idempotent"}, rig.Route{Name: "empty", Prefix: "/empty/", Plant: "nobody"})
 	for _, c := range []struct {
 		path, reason, tries string
@@ -80,10 +80,10 @@
 	t.Parallel()
 	r := rig.Start(t, brief, func(s *settings.Settings) { s.RetryRatio, s.RetrySlack = 0, 2 }) // one further dispatch in each life
 	for range 2 {
-		r.Searcher("bad", rude.Options{Script: func(rude.Call) rude.Reply { return rude.Reply{Status: http.StatusInternalServerError} }})
+		r.Searcher("bad", faulty.Options{Script: func(faulty.Call) faulty.Reply { return faulty.Reply{Status: http.StatusInternalServerError} }})
 	}
-	r.Searcher("good", rude.Options{})
-	first := r.Searcher("moved", rude.Options{})
+	r.Searcher("good", faulty.Options{})
+	first := r.Searcher("moved", faulty.Options{})
 	half := 0.5
 	r.Put(rig.Route{Name: "all", Prefix: "/all/", FanOut: []string{"bad", "good"}, Coverage: &half, Retries: 2, TopK: 3},
 		rig.Route{Name: "moved", Prefix: "/moved/", Plant: "moved", Retries: 2})
@@ -103,7 +103,7 @@
 	must.Len(t, 1, r.Log.With("retry-budget-exhausted", `"service":"bad"`, `"counting":1`), must.Sprint(r.Log.With("retry-budget")))
 
 	first.Close()
-	r.Searcher("other", rude.Options{Addr: first.Addr()})
+	r.Searcher("other", faulty.Options{Addr: first.Addr()})
 	r.Sync()
 	r.Do(rig.Request{Path: "/moved/", DeadlineMs: 500})
 	must.Eq(t, 1, figure(t, r, `retry_budget_misdirected_total{service="moved"}`))
