review/2: a payment that runs is answered 503, after a refused probe

Cause: a connection whose probe was refused by a full searcher is kept as unused. Once another connection to that searcher is identified, it carries a request without a probe, and a late second copy of the refused probe's answer, which has no Attempt-Id, is taken for the refusal of that request. Change: the case as a script (review/2); stand-in searchers let probes wait for a slot and can crash.

--- a/review/stand/searcher.go
+++ b/review/stand/searcher.go
@@ -23,7 +23,8 @@
 	// Work returns how long a request runs.
 	Work func(path string) time.Duration
 	// Surplus reports whether the answer that is about to be sent is sent once more, late: in the place where the next
-	// answer on its connection is due. Nil means never.
+	// answer on its connection is due.
+	// An answer to a probe has no Attempt-Id. Nil means never.
 	Surplus func(id string, status int) bool
 
 	system *System
@@ -34,12 +35,8 @@
 	calls  int
 	runs   map[string]int // by Attempt-Id
 	stop   chan struct{}
-}
-
-// Run is what a searcher counted for one Attempt-Id.
-type Run struct {
-	ID    string
-	Times int
+	crash  sync.Once
+	conns  map[*net.TCPConn]bool
 }
 
 // Start starts the searcher on a free port of an address, and its beats.
@@ -49,15 +46,27 @@
 		return err
 	}
 	s.system, s.ln, s.slots, s.runs, s.stop = system, ln, make(chan struct{}, s.Slots), map[string]int{}, make(chan struct{})
-	system.OnStop(func() {
-		close(s.stop)
-		ln.Close()
-	})
+	s.conns = map[*net.TCPConn]bool{}
+	system.OnStop(s.Crash)
 	go s.accept()
 	go s.beat()
 	return nil
 }
 
+// Crash ends the searcher without a word: its port is closed, its connections are reset, and it sends no more beats.
+func (s *Searcher) Crash() {
+	s.crash.Do(func() {
+		close(s.stop)
+		s.ln.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.SetLinger(0)
+			c.Close()
+		}
+	})
+}
+
 // beat reports the searcher as the pages say: to one controller, and to the next one after a failure.
 func (s *Searcher) beat() {
 	client := &http.Client{Timeout: time.Second}
@@ -98,7 +107,10 @@
 		if err != nil {
 			return
 		}
-		go s.serve(c, n)
+		s.mu.Lock()
+		s.conns[c.(*net.TCPConn)] = true
+		s.mu.Unlock()
+		go s.serve(c.(*net.TCPConn), n)
 	}
 }
 
@@ -131,8 +143,13 @@
 	return c, nil
 }
 
-func (s *Searcher) serve(c net.Conn, n int) {
-	defer c.Close()
+func (s *Searcher) serve(c *net.TCPConn, n int) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	var surplus []byte
 	for {
@@ -148,7 +165,7 @@
 			surplus = nil
 		}
 		status, answer := s.answer(r, n)
-		if r.id != "" && s.Surplus != nil && s.Surplus(r.id, status) {
+		if s.Surplus != nil && s.Surplus(r.id, status) {
 			surplus = answer
 		}
 		if _, err := c.Write(answer); err != nil {
@@ -171,21 +188,20 @@
 	case r.target != "" && r.target != s.ID:
 		return reply(421, "Not-Executed: 1\r\n", "")
 	case r.path == "/health":
+		// It waits for a slot, or is turned away, as a request would be.
+		if !s.takeSlot() {
+			s.system.Record.Printf("searcher %s: connection %d: probe refused, full (503, Not-Executed)", s.ID, n)
+			return reply(503, "Not-Executed: 1\r\n", "")
+		}
+		<-s.slots
+		s.system.Record.Printf("searcher %s: connection %d: probe answered 200", s.ID, n)
 		return reply(200, "Searcher-Id: "+s.ID+"\r\n", "")
 	case r.id == "":
 		return reply(400, "Not-Executed: 1\r\n", "")
 	}
-	select {
-	case s.slots <- struct{}{}:
-	default:
-		if !s.enqueue() {
-			s.system.Record.Printf("searcher %s: connection %d: %s refused, full (503, Not-Executed)", s.ID, n, r.id)
-			return reply(503, "Not-Executed: 1\r\n", "")
-		}
-		s.slots <- struct{}{}
-		s.mu.Lock()
-		s.queued--
-		s.mu.Unlock()
+	if !s.takeSlot() {
+		s.system.Record.Printf("searcher %s: connection %d: %s refused, full (503, Not-Executed)", s.ID, n, r.id)
+		return reply(503, "Not-Executed: 1\r\n", "")
 	}
 	s.mu.Lock()
 	s.runs[r.id]++
@@ -197,6 +213,23 @@
 	return reply(200, "Answer-Seal: seal-"+s.ID+"-"+r.id+"\r\n", "0123456789abcdef")
 }
 
+// takeSlot waits for a slot. It returns false if the queue is full.
+func (s *Searcher) takeSlot() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if !s.enqueue() {
+		return false
+	}
+	s.slots <- struct{}{}
+	s.mu.Lock()
+	s.queued--
+	s.mu.Unlock()
+	return true
+}
+
 func (s *Searcher) enqueue() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
