--- a/review/1/main.go
+++ b/review/1/main.go
@@ -15,7 +15,7 @@
 
 const (
 	host     = "file10.example"
-	services = 3
+	services = 6
 	copies   = 2 // searchers of a service; one of them is in trouble
 	slots    = 3
 	queue    = 4
