--- /dev/null
+++ b/review/stand-2/searcher.go
@@ -0,0 +1,324 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"peathollow/client"
+)
+
+// searcher is a stand-in searcher. It follows PROTOCOL.md: it works on slots requests at a time, queues a few more, turns the
+// others away with Not-Executed, and answers 421 to a request that names another searcher.
+type searcher struct {
+	id, service, zone string
+	slots, queue      int
+	work              func(attempt, path string) time.Duration
+	idle              time.Duration // idle connections are closed after this time, which Keep-Alive tells
+	rec               *record
+	control           *client.Client
+	beat              time.Duration
+
+	ln     net.Listener
+	stop   context.CancelFunc
+	beaten chan struct{}
+
+	mu       sync.Mutex
+	running  int
+	waiting  int
+	freed    *sync.Cond
+	calls    int
+	state    string
+	lateTill time.Time // no beat is sent before this time
+	conns    map[net.Conn]bool
+	closed   bool
+
+	garble   bool // send surplus answers, up to dose of the answers
+	dose     float64
+	answers  int
+	surplus  int
+	refusals int // probes that were turned away
+}
+
+// start listens and begins to send beats.
+func (s *searcher) start(addr string, control []string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.ln, s.state, s.conns, s.beaten = ln, "ready", map[net.Conn]bool{}, make(chan struct{})
+	s.freed = sync.NewCond(&s.mu)
+	s.control = client.New(control...)
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	go s.beats(ctx)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			if s.closed {
+				c.Close()
+			} else {
+				s.conns[c] = true
+				go s.serve(c)
+			}
+			s.mu.Unlock()
+		}
+	}()
+	return nil
+}
+
+func (s *searcher) address() string { return s.ln.Addr().String() }
+
+// beats sends a beat each period, except while one is late.
+func (s *searcher) beats(ctx context.Context) {
+	defer close(s.beaten)
+	t := time.NewTicker(s.beat)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		late := time.Until(s.lateTill)
+		s.mu.Unlock()
+		if late > 0 {
+			select {
+			case <-time.After(late):
+			case <-ctx.Done():
+				return
+			}
+		}
+		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		s.report(callCtx)
+		cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// delayBeats makes the next beat come late, after d.
+func (s *searcher) delayBeats(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateTill = time.Now().Add(d)
+}
+
+func (s *searcher) report(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	body, _ := json.Marshal(map[string]any{"plant": s.service, "address": s.address(), "zone": s.zone, "config-version": "v1",
+		"capacity": s.slots, "state": s.state, "warmup-left-ms": 0, "call-count": s.calls})
+	s.mu.Unlock()
+	_, _, err := s.control.Call(ctx, http.MethodPut, "/searchers/"+s.id, body)
+	return err
+}
+
+// crash ends the searcher without a word.
+func (s *searcher) crash() {
+	s.stop()
+	s.mu.Lock()
+	s.closed = true
+	s.ln.Close()
+	for c := range s.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	s.freed.Broadcast()
+	s.mu.Unlock()
+	<-s.beaten
+	s.control.Close()
+}
+
+// setGarble begins or ends a time in which the searcher sends surplus answers, to at most dose of its answers of that time.
+func (s *searcher) setGarble(on bool, dose float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.garble, s.dose, s.answers, s.surplus = on, dose, 0, 0
+}
+
+// acquire takes a slot, or waits for one in the queue. It returns false if the queue is full.
+func (s *searcher) acquire() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running >= s.slots {
+		if s.waiting >= s.queue {
+			return false
+		}
+		s.waiting++
+		for s.running >= s.slots && !s.closed {
+			s.freed.Wait()
+		}
+		s.waiting--
+	}
+	s.running++
+	return true
+}
+
+func (s *searcher) release() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	s.freed.Signal()
+}
+
+// count counts an answer.
+func (s *searcher) count() {
+	s.mu.Lock()
+	s.answers++
+	s.mu.Unlock()
+}
+
+// mayGarble reports whether one more surplus answer stays within the dose, and counts it if so.
+func (s *searcher) mayGarble() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.garble || float64(s.surplus+1) > s.dose*float64(s.answers) {
+		return false
+	}
+	s.surplus++
+	return true
+}
+
+func (s *searcher) serve(c net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		c.Close()
+	}()
+	in := bufio.NewReader(c)
+	var turnedAway []byte // the last answer on this connection, if it turned a call away
+	turnedAwayID := ""    // Attempt-Id of that call; none for a probe
+	for {
+		c.SetReadDeadline(time.Now().Add(s.idle))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		id, target := r.Header.Get("Attempt-Id"), r.Header.Get("Target-Searcher")
+		probe := id == "" && r.URL.Path == "/health"
+		var out []byte
+		refused := false
+		switch {
+		case target != "" && target != s.id:
+			out = s.answer(421, id, "Not-Executed: 1\r\n", nil)
+		case id == "" && !probe:
+			out = s.answer(400, id, "Not-Executed: 1\r\n", nil)
+		case !s.acquire():
+			refused = true
+			out = s.answer(503, id, "Not-Executed: 1\r\n", nil)
+			s.rec.add("searcher %s full: %s %s turned away, answered 503 Not-Executed", s.id, kind(probe), id)
+		case probe:
+			time.Sleep(time.Millisecond)
+			s.release()
+			out = s.answer(200, "", "Searcher-Id: "+s.id+"\r\n", nil)
+		default:
+			s.rec.ran(id, s.id)
+			time.Sleep(s.work(id, r.URL.Path))
+			s.release()
+			reply := bytes.Repeat([]byte("0123456789abcdef"), 4)
+			out = s.answer(200, id, "Answer-Seal: seal."+s.id+"."+id+"\r\n", append(reply, body...))
+			s.rec.add("searcher %s answers %s with 200", s.id, id)
+		}
+		s.count()
+		if turnedAway != nil && !probe && !refused && id != "" && (turnedAwayID == "" || turnedAwayID == id) && s.mayGarble() {
+			// The surplus answer to the call before comes late, in the place where the answer to this request is due.
+			s.rec.add("searcher %s: a second copy of its last answer comes first, in the place of that to %s", s.id, id)
+			if _, err := c.Write(turnedAway); err != nil {
+				return
+			}
+		}
+		turnedAway, turnedAwayID = nil, ""
+		if refused {
+			turnedAway, turnedAwayID = out, id
+		}
+		if refused && probe {
+			s.mu.Lock()
+			s.refusals++
+			s.mu.Unlock()
+		}
+		if _, err := c.Write(out); err != nil {
+			return
+		}
+	}
+}
+
+func kind(probe bool) string {
+	if probe {
+		return "probe"
+	}
+	return "request"
+}
+
+// answer encodes an answer.
+func (s *searcher) answer(status int, id, more string, body []byte) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d Status\r\n", status)
+	if id != "" {
+		b.WriteString("Attempt-Id: " + id + "\r\n")
+	}
+	b.WriteString(more)
+	fmt.Fprintf(&b, "Keep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n", int(s.idle.Seconds()), len(body))
+	b.Write(body)
+	return b.Bytes()
+}
+
+// httpAnswer is what a client read.
+type httpAnswer struct {
+	status  int
+	headers map[string]string
+	body    []byte
+	closed  bool // the connection is to be closed after it
+}
+
+// readAnswer reads one answer from a connection.
+func readAnswer(in *bufio.Reader) (a httpAnswer, err error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return a, err
+	}
+	parts := strings.SplitN(strings.TrimSpace(line), " ", 3)
+	if len(parts) < 2 || !strings.HasPrefix(parts[0], "HTTP/1.") {
+		return a, fmt.Errorf("no answer: %q", line)
+	}
+	a.status, _ = strconv.Atoi(parts[1])
+	a.headers = map[string]string{}
+	length := 0
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return a, err
+		}
+		line = strings.TrimSpace(line)
+		if line == "" {
+			break
+		}
+		name, value, _ := strings.Cut(line, ":")
+		a.headers[strings.ToLower(name)] = strings.TrimSpace(value)
+	}
+	if v := a.headers["content-length"]; v != "" {
+		length, _ = strconv.Atoi(v)
+	}
+	a.closed = strings.EqualFold(a.headers["connection"], "close")
+	a.body = make([]byte, length)
+	_, err = io.ReadFull(in, a.body)
+	return a, err
+}
