--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -38,6 +38,7 @@
 	play    func(s *stage) (breaches []string, err error)
 }{
 	"surplus": {localsystem.Options{Controllers: 3, Fronts: 2}, playSurplus},
+	"stop":    {localsystem.Options{Controllers: 3, Fronts: 3}, playStop},
 	"again":   {localsystem.Options{Controllers: 3, Fronts: 2}, playAgain},
 }
 
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -5,13 +5,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peathollow/client"
@@ -32,21 +36,26 @@
 	stop   context.CancelFunc
 	beaten chan struct{}
 
-	mu       sync.Mutex
-	running  int
-	waiting  int
-	freed    *sync.Cond
-	calls    int
-	state    string
-	lateTill time.Time // no beat is sent before this time
-	conns    map[net.Conn]bool
-	closed   bool
+	mu        sync.Mutex
+	running   int
+	waiting   int
+	freed     *sync.Cond
+	line      []int // places of those that wait, in order
+	lastPlace int
+	calls     int
+	state     string
+	lateTill  time.Time // no beat is sent before this time
+	conns     map[net.Conn]bool
+	closed    bool
 
-	garble   bool // send surplus answers, up to dose of the answers
-	dose     float64
-	answers  int
-	surplus  int
-	refusals int // probes that were turned away
+	garble    bool // send surplus answers, up to dose of the answers
+	closeEach int  // every so many answers to requests that ran end their connection ("now and then")
+	probes    bool // of refused probes, otherwise of refused requests
+	dose      float64
+	answers   int
+	surplus   int
+	ended     int // requests that have run
+	refusals  int // probes that were turned away
 }
 
 // start listens and begins to send beats.
@@ -149,29 +158,39 @@
 	s.garble, s.dose, s.answers, s.surplus = on, dose, 0, 0
 }
 
-// acquire takes a slot, or waits for one in the queue. It returns false if the queue is full.
-func (s *searcher) acquire() bool {
+// acquire takes a slot, or waits for one in the queue, first come first served. It returns false if the queue is full, or if
+// the connection of the call has closed while it waited.
+func (s *searcher) acquire(gone func() bool) (ok, dropped bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running >= s.slots {
+	if s.running >= s.slots || s.waiting > 0 {
 		if s.waiting >= s.queue {
-			return false
+			return false, false
 		}
 		s.waiting++
-		for s.running >= s.slots && !s.closed {
+		place := s.lastPlace + 1
+		s.lastPlace = place
+		s.line = append(s.line, place)
+		for (s.running >= s.slots || s.line[0] != place) && !s.closed && !gone() {
 			s.freed.Wait()
 		}
+		s.line = slices.DeleteFunc(s.line, func(p int) bool { return p == place })
 		s.waiting--
+		if s.closed || gone() {
+			s.freed.Broadcast()
+			return false, true
+		}
 	}
 	s.running++
-	return true
+	s.freed.Broadcast()
+	return true, false
 }
 
 func (s *searcher) release() {
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
-	s.freed.Signal()
+	s.freed.Broadcast()
 }
 
 // count counts an answer.
@@ -216,30 +235,42 @@
 		id, target := r.Header.Get("Attempt-Id"), r.Header.Get("Target-Searcher")
 		probe := id == "" && r.URL.Path == "/health"
 		var out []byte
-		refused := false
+		refused, last := false, false
+		stop, gone := s.watch(c, in)
+		admitted, dropped := true, false
+		if (target == "" || target == s.id) && (id != "" || probe) {
+			admitted, dropped = s.acquire(gone)
+		}
+		if dropped {
+			stop()
+			s.rec.add("searcher %s drops %s %s from its queue: its connection has closed", s.id, kind(probe), id)
+			return
+		}
 		switch {
 		case target != "" && target != s.id:
-			out = s.answer(421, id, "Not-Executed: 1\r\n", nil)
+			out = s.answer(421, id, "Not-Executed: 1\r\n", nil, false)
 		case id == "" && !probe:
-			out = s.answer(400, id, "Not-Executed: 1\r\n", nil)
-		case !s.acquire():
+			out = s.answer(400, id, "Not-Executed: 1\r\n", nil, false)
+		case !admitted:
 			refused = true
-			out = s.answer(503, id, "Not-Executed: 1\r\n", nil)
+			out = s.answer(503, id, "Not-Executed: 1\r\n", nil, false)
 			s.rec.add("searcher %s full: %s %s turned away, answered 503 Not-Executed", s.id, kind(probe), id)
 		case probe:
 			time.Sleep(time.Millisecond)
 			s.release()
-			out = s.answer(200, "", "Searcher-Id: "+s.id+"\r\n", nil)
+			out = s.answer(200, "", "Searcher-Id: "+s.id+"\r\n", nil, false)
 		default:
 			s.rec.ran(id, s.id)
 			time.Sleep(s.work(id, r.URL.Path))
 			s.release()
+			last = s.endsConnection()
 			reply := bytes.Repeat([]byte("0123456789abcdef"), 4)
-			out = s.answer(200, id, "Answer-Seal: seal."+s.id+"."+id+"\r\n", append(reply, body...))
+			out = s.answer(200, id, "Answer-Seal: seal."+s.id+"."+id+"\r\n", append(reply, body...), last)
 			s.rec.add("searcher %s answers %s with 200", s.id, id)
 		}
+		stop()
 		s.count()
-		if turnedAway != nil && !probe && !refused && id != "" && (turnedAwayID == "" || turnedAwayID == id) && s.mayGarble() {
+		if turnedAway != nil && !probe && !refused && id != "" && (s.probes && turnedAwayID == "" || !s.probes && turnedAwayID == id) && s.mayGarble() {
 			// The surplus answer to the call before comes late, in the place where the answer to this request is due.
 			s.rec.add("searcher %s: a second copy of its last answer comes first, in the place of that to %s", s.id, id)
 			if _, err := c.Write(turnedAway); err != nil {
@@ -255,12 +286,41 @@
 			s.refusals++
 			s.mu.Unlock()
 		}
-		if _, err := c.Write(out); err != nil {
+		if _, err := c.Write(out); err != nil || last {
 			return
 		}
 	}
 }
 
+// endsConnection reports whether the connection is to end with the answer to the request that has just run.
+func (s *searcher) endsConnection() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended++
+	return s.closeEach > 0 && s.ended%s.closeEach == 0
+}
+
+// watch notices the end of a connection. stop ends it, and must be called before the next read.
+func (s *searcher) watch(c net.Conn, in *bufio.Reader) (stop func(), gone func() bool) {
+	var closed atomic.Bool
+	finished := make(chan struct{})
+	c.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(finished)
+		if _, err := in.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			closed.Store(true)
+			s.mu.Lock()
+			s.freed.Broadcast()
+			s.mu.Unlock()
+		}
+	}()
+	return func() {
+		c.SetReadDeadline(time.Unix(1, 0))
+		<-finished
+		c.SetReadDeadline(time.Time{})
+	}, closed.Load
+}
+
 func kind(probe bool) string {
 	if probe {
 		return "probe"
@@ -269,13 +329,16 @@
 }
 
 // answer encodes an answer.
-func (s *searcher) answer(status int, id, more string, body []byte) []byte {
+func (s *searcher) answer(status int, id, more string, body []byte, last bool) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d Status\r\n", status)
 	if id != "" {
 		b.WriteString("Attempt-Id: " + id + "\r\n")
 	}
 	b.WriteString(more)
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
 	fmt.Fprintf(&b, "Keep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n", int(s.idle.Seconds()), len(body))
 	b.Write(body)
 	return b.Bytes()
