--- a/review/stand-2/surplus.go
+++ b/review/stand-2/surplus.go
@@ -13,7 +13,7 @@
 	var searchers []*searcher
 	for i := range 3 {
 		x := &searcher{id: fmt.Sprintf("i-7f3a91c%d", i), service: "kafi81c", zone: "zone-1", slots: 2, queue: 2,
-			work: func(string, string) time.Duration { return work }, idle: 5 * time.Second, rec: s.rec, beat: 1200 * time.Millisecond}
+			work: func(string, string) time.Duration { return work }, idle: 5 * time.Second, probes: true, closeEach: 5, rec: s.rec, beat: 1200 * time.Millisecond}
 		if err := x.start("127.0.0.1:0", s.system.Control); err != nil {
 			return nil, err
 		}
@@ -73,9 +73,9 @@
 		}
 		burst(24)
 		time.Sleep(2700 * time.Millisecond) // the late beat has come meanwhile
-		for range 6 {
-			burst(15)
-			time.Sleep(300 * time.Millisecond)
+		for range 9 {
+			burst(9)
+			time.Sleep(200 * time.Millisecond)
 		}
 		x.setGarble(false, 0) // after 4.5 s
 		time.Sleep(6 * time.Second)
