Drop the cases that the earlier review shows, renumber the other one

Our case 4 (a refusal of the same try taken for its next answer) is review/1, our case 5 (a refused probe taken for the answer to a request) has the fault of review/2.

Change: both are removed with their stand-ins; the case of the stopped front, so far 6, is review/4.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -37,9 +37,7 @@
 	options localsystem.Options
 	play    func(s *stage) (breaches []string, err error)
 }{
-	"surplus": {localsystem.Options{Controllers: 3, Fronts: 2}, playSurplus},
-	"stop":    {localsystem.Options{Controllers: 3, Fronts: 3}, playStop},
-	"again":   {localsystem.Options{Controllers: 3, Fronts: 2}, playAgain},
+	"stop": {localsystem.Options{Controllers: 3, Fronts: 3}, playStop},
 }
 
 // settings are those of a small deployment, as in the pages.
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -44,18 +44,8 @@
 	lastPlace int
 	calls     int
 	state     string
-	lateTill  time.Time // no beat is sent before this time
 	conns     map[net.Conn]bool
 	closed    bool
-
-	garble    bool // send surplus answers, up to dose of the answers
-	closeEach int  // every so many answers to requests that ran end their connection ("now and then")
-	probes    bool // of refused probes, otherwise of refused requests
-	dose      float64
-	answers   int
-	surplus   int
-	ended     int // requests that have run
-	refusals  int // probes that were turned away
 }
 
 // start listens and begins to send beats.
@@ -97,16 +87,6 @@
 	t := time.NewTicker(s.beat)
 	defer t.Stop()
 	for {
-		s.mu.Lock()
-		late := time.Until(s.lateTill)
-		s.mu.Unlock()
-		if late > 0 {
-			select {
-			case <-time.After(late):
-			case <-ctx.Done():
-				return
-			}
-		}
 		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		s.report(callCtx)
 		cancel()
@@ -118,13 +98,6 @@
 	}
 }
 
-// delayBeats makes the next beat come late, after d.
-func (s *searcher) delayBeats(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lateTill = time.Now().Add(d)
-}
-
 func (s *searcher) report(ctx context.Context) error {
 	s.mu.Lock()
 	s.calls++
@@ -151,13 +124,6 @@
 	s.control.Close()
 }
 
-// setGarble begins or ends a time in which the searcher sends surplus answers, to at most dose of its answers of that time.
-func (s *searcher) setGarble(on bool, dose float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.garble, s.dose, s.answers, s.surplus = on, dose, 0, 0
-}
-
 // acquire takes a slot, or waits for one in the queue, first come first served. It returns false if the queue is full, or if
 // the connection of the call has closed while it waited.
 func (s *searcher) acquire(gone func() bool) (ok, dropped bool) {
@@ -193,24 +159,6 @@
 	s.freed.Broadcast()
 }
 
-// count counts an answer.
-func (s *searcher) count() {
-	s.mu.Lock()
-	s.answers++
-	s.mu.Unlock()
-}
-
-// mayGarble reports whether one more surplus answer stays within the dose, and counts it if so.
-func (s *searcher) mayGarble() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.garble || float64(s.surplus+1) > s.dose*float64(s.answers) {
-		return false
-	}
-	s.surplus++
-	return true
-}
-
 func (s *searcher) serve(c net.Conn) {
 	defer func() {
 		s.mu.Lock()
@@ -219,8 +167,6 @@
 		c.Close()
 	}()
 	in := bufio.NewReader(c)
-	var turnedAway []byte // the last answer on this connection, if it turned a call away
-	turnedAwayID := ""    // Attempt-Id of that call; none for a probe
 	for {
 		c.SetReadDeadline(time.Now().Add(s.idle))
 		r, err := http.ReadRequest(in)
@@ -235,7 +181,6 @@
 		id, target := r.Header.Get("Attempt-Id"), r.Header.Get("Target-Searcher")
 		probe := id == "" && r.URL.Path == "/health"
 		var out []byte
-		refused, last := false, false
 		stop, gone := s.watch(c, in)
 		admitted, dropped := true, false
 		if (target == "" || target == s.id) && (id != "" || probe) {
@@ -248,58 +193,31 @@
 		}
 		switch {
 		case target != "" && target != s.id:
-			out = s.answer(421, id, "Not-Executed: 1\r\n", nil, false)
+			out = s.answer(421, id, "Not-Executed: 1\r\n", nil)
 		case id == "" && !probe:
-			out = s.answer(400, id, "Not-Executed: 1\r\n", nil, false)
+			out = s.answer(400, id, "Not-Executed: 1\r\n", nil)
 		case !admitted:
-			refused = true
-			out = s.answer(503, id, "Not-Executed: 1\r\n", nil, false)
+			out = s.answer(503, id, "Not-Executed: 1\r\n", nil)
 			s.rec.add("searcher %s full: %s %s turned away, answered 503 Not-Executed", s.id, kind(probe), id)
 		case probe:
 			time.Sleep(time.Millisecond)
 			s.release()
-			out = s.answer(200, "", "Searcher-Id: "+s.id+"\r\n", nil, false)
+			out = s.answer(200, "", "Searcher-Id: "+s.id+"\r\n", nil)
 		default:
 			s.rec.ran(id, s.id)
 			time.Sleep(s.work(id, r.URL.Path))
 			s.release()
-			last = s.endsConnection()
 			reply := bytes.Repeat([]byte("0123456789abcdef"), 4)
-			out = s.answer(200, id, "Answer-Seal: seal."+s.id+"."+id+"\r\n", append(reply, body...), last)
+			out = s.answer(200, id, "Answer-Seal: seal."+s.id+"."+id+"\r\n", append(reply, body...))
 			s.rec.add("searcher %s answers %s with 200", s.id, id)
 		}
 		stop()
-		s.count()
-		if turnedAway != nil && !probe && !refused && id != "" && (s.probes && turnedAwayID == "" || !s.probes && turnedAwayID == id) && s.mayGarble() {
-			// The surplus answer to the call before comes late, in the place where the answer to this request is due.
-			s.rec.add("searcher %s: a second copy of its last answer comes first, in the place of that to %s", s.id, id)
-			if _, err := c.Write(turnedAway); err != nil {
-				return
-			}
-		}
-		turnedAway, turnedAwayID = nil, ""
-		if refused {
-			turnedAway, turnedAwayID = out, id
-		}
-		if refused && probe {
-			s.mu.Lock()
-			s.refusals++
-			s.mu.Unlock()
-		}
-		if _, err := c.Write(out); err != nil || last {
+		if _, err := c.Write(out); err != nil {
 			return
 		}
 	}
 }
 
-// endsConnection reports whether the connection is to end with the answer to the request that has just run.
-func (s *searcher) endsConnection() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ended++
-	return s.closeEach > 0 && s.ended%s.closeEach == 0
-}
-
 // watch notices the end of a connection. stop ends it, and must be called before the next read.
 func (s *searcher) watch(c net.Conn, in *bufio.Reader) (stop func(), gone func() bool) {
 	var closed atomic.Bool
@@ -329,16 +247,13 @@
 }
 
 // answer encodes an answer.
-func (s *searcher) answer(status int, id, more string, body []byte, last bool) []byte {
+func (s *searcher) answer(status int, id, more string, body []byte) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d Status\r\n", status)
 	if id != "" {
 		b.WriteString("Attempt-Id: " + id + "\r\n")
 	}
 	b.WriteString(more)
-	if last {
-		b.WriteString("Connection: close\r\n")
-	}
 	fmt.Fprintf(&b, "Keep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n", int(s.idle.Seconds()), len(body))
 	b.Write(body)
 	return b.Bytes()
