--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -37,7 +37,8 @@
 	options localsystem.Options
 	play    func(s *stage) (breaches []string, err error)
 }{
-	"stop": {localsystem.Options{Controllers: 3, Fronts: 3}, playStop},
+	"names": {localsystem.Options{Controllers: 3, Fronts: 2}, playNames},
+	"stop":  {localsystem.Options{Controllers: 3, Fronts: 3}, playStop},
 }
 
 // settings are those of a small deployment, as in the pages.
