Stopped front: every request in flight gets its final answer before the process ends

Cause: proxy.shutDown waited for the server until the end of its time and returned. What was in flight ended with the process; nothing decided what its clients may be told.

Change: request.Coordinator.Stop, as attempt.Coordinator has it, ends each request at a given time: the parts that are in if they suffice, the searcher's error, 502 or 504 where it may have run, 503 only where it has not run and can't. Dispatches are cancelled. A request read from an idle connection that the server closes at the same moment is not passed on. Invariant answered_before_exit.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -31,6 +31,8 @@
 	InFlightBalance Name = "in_hand_balance"
 	// DispatchEnds requires that no attempt is outstanding long after its deadline.
 	DispatchEnds Name = "dispatch_ends"
+	// AnsweredBeforeExit requires that a proxy that is stopped has given each request its final answer before it ends.
+	AnsweredBeforeExit Name = "answered_before_exit"
 	// VersionMonotonic requires that the version of the configuration in force never decreases, neither within an incarnation
 	// nor across a restart from disk.
 	VersionMonotonic Name = "version_rises"
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -22,6 +22,9 @@
 // ServeHTTP handles one client request and writes its answer.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if connectionClosed(r) {
+		panic(http.ErrAbortHandler) // no answer could reach the client, so the request must not be sent on
+	}
 	h := w.Header()
 	h["Date"] = nil
 	if p.shuttingDown.Load() || len(r.TransferEncoding) > 0 {
--- a/proxy/observability.go
+++ b/proxy/observability.go
@@ -42,7 +42,7 @@
 		misdirectedLines: &logbound.Limiter{PerSecond: reasonLinesPerSecond}, budgetLines: &logbound.Limiter{PerSecond: reasonLinesPerSecond},
 		reasonLines: map[request.Reason]*logbound.Limiter{}, failed: map[request.Reason]*atomic.Uint64{}}
 	for _, reason := range []request.Reason{request.NoSearcher, request.Rejected, request.BudgetExhausted, request.NotAdmitted, request.DeadlinePassed,
-		request.MayHaveRun, request.NoAttemptLeft, request.InternalFault} {
+		request.MayHaveRun, request.NoAttemptLeft, request.Stopping, request.InternalFault} {
 		s.failed[reason] = &atomic.Uint64{}
 		s.reasonLines[reason] = &logbound.Limiter{PerSecond: reasonLinesPerSecond}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -121,19 +121,6 @@
 	}
 }
 
-// shutDown keeps serving until the platform has stopped sending new connections, then until no request is in flight.
-func (p *Proxy) shutDown(frontServer *http.Server) {
-	p.shuttingDown.Store(true)
-	began := time.Now()
-	p.log.Info().Str("event", "leaving").Int("in-hand", p.inFlight()).Msg("")
-	time.Sleep(p.settings.ProxyListenTime())
-	ctx, stop := context.WithTimeout(context.Background(), max(time.Millisecond, p.settings.ProxyExitTime()-time.Since(began)))
-	defer stop()
-	frontServer.Shutdown(ctx) // any request still in flight after this ends with the process
-	p.logCounters()
-	p.log.Info().Str("event", "left").Int("in-hand", p.inFlight()).Msg("")
-}
-
 func (p *Proxy) inFlight() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/proxy/timeouts.go
+++ b/proxy/timeouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -52,6 +53,7 @@
 
 type timeoutConn struct {
 	net.Conn
+	closed             atomic.Bool // by this side
 	timeouts           func() (header, idle time.Duration)
 	writeDeadlineSetAt time.Time // when the write deadline was last set; used only by the goroutine that writes
 }
@@ -72,6 +74,12 @@
 	return c.Conn.Write(b)
 }
 
+// Close closes the connection.
+func (c *timeoutConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // SetReadDeadline replaces a placeholder deadline by one that uses the current timeout.
 func (c *timeoutConn) SetReadDeadline(t time.Time) error {
 	if !t.IsZero() {
--- a/request/answer.go
+++ b/request/answer.go
@@ -26,6 +26,14 @@
 	return f
 }
 
+// failure returns the final answer to a request that may have run: the error response of a searcher if there is one.
+func failure(r *Request, deadlineReached bool) Final {
+	if r.errorReply != nil && len(r.Route.FanOut) == 0 {
+		return Final{Kind: Relayed, Reply: r.errorReply}
+	}
+	return Final{Kind: Failed, DeadlineReached: deadlineReached}
+}
+
 // merge returns the greatest records of all bodies, greatest first, at most limit of them if limit is positive.
 // Duplicates are kept; a trailing piece shorter than a record is dropped.
 func merge(bodies [][]byte, limit int) []byte {
--- a/request/coordinator.go
+++ b/request/coordinator.go
@@ -14,7 +14,7 @@
 	Seed   uint64
 	Budget retrybudget.Config
 	// Previous is the Coordinator that this one replaces after a fault, or nil. The spent retry budget, the misdirected
-	// searchers and the suspects are taken over from it.
+	// searchers, the suspects and the time of Stop are taken over from it.
 	Previous *Coordinator
 	// InjectFault, if set, is called at each Step with the services of the group. Tests use it to inject panics.
 	InjectFault func(step Step, services []string)
@@ -50,8 +50,10 @@
 	totalPaused   time.Duration // total time of all pauses
 	// budgetUntil is the deadline of the retry for which the policy last queried the retry budget.
 	budgetUntil time.Duration
-	abandoned   bool   // after Abandon
-	deciding    *group // group whose engine is running; see Contain
+	stopAt      time.Duration // see Stop; 0 if the process keeps running
+	stopped     bool          // stopAt has passed and no request is in flight any more
+	abandoned   bool          // after Abandon
+	deciding    *group        // group whose engine is running; see Contain
 	actions     []Action
 	Counts      Counts
 }
@@ -62,6 +64,7 @@
 		groups: map[string]*group{}, searchers: map[string]*Searcher{}, parts: map[uint64]*part{}, requests: map[uint64]*Request{}}
 	if previous := config.Previous; previous != nil {
 		c.budget, c.misdirected, c.suspects = previous.budget, previous.misdirected, previous.suspects
+		c.stopAt = previous.stopAt
 		c.config.Previous = nil
 		return c
 	}
@@ -90,17 +93,23 @@
 	for {
 		due, ok := c.timers.pop(c.now)
 		if !ok {
-			return
+			break
 		}
 		if !due.group.failed {
 			due.group.timerDue(due.token)
 		}
 	}
+	if c.stopDue() {
+		c.endAll()
+	}
 }
 
 // NextTimer returns the time of the next timer, and false if there is none.
 func (c *Coordinator) NextTimer() (time.Duration, bool) {
 	at, ok := c.timers.next()
+	if c.stopAt > 0 && !c.stopped && (!ok || c.stopAt < at) {
+		at, ok = c.stopAt, true
+	}
 	return max(at, c.timersDueFrom()), ok
 }
 
@@ -146,6 +155,10 @@
 	}
 	g := c.groupFor(services)
 	r.group, r.services = g, services
+	if c.stopDue() {
+		c.finish(r, Final{Kind: Refused, Reason: Stopping, RetryAfter: minRetryAfter})
+		return
+	}
 	if r.Deadline <= c.now {
 		c.finish(r, Final{Kind: Refused, Reason: DeadlinePassed, RetryAfter: minRetryAfter})
 		return
@@ -183,7 +196,17 @@
 		return
 	}
 	c.Counts.ClientsLeft++
-	r.group.clientLeft(r)
+	r.group.drop(r)
+	r.ended = true
+	delete(c.requests, r.id)
+	for _, p := range r.parts {
+		c.releasePart(p)
+	}
+	c.cancelDispatches(r)
+}
+
+// cancelDispatches queues the cancellation of a request's dispatches in flight.
+func (c *Coordinator) cancelDispatches(r *Request) {
 	for _, p := range r.parts {
 		for _, d := range p.dispatches {
 			if d.inFlight {
@@ -270,7 +293,10 @@
 		}
 	case Failed:
 		c.Counts.Failed++
-		final.Reason, final.Attempts = c.failureReason(r, final.DeadlineReached), c.attempts(r)
+		final.Attempts = c.attempts(r)
+		if final.Reason == "" {
+			final.Reason = c.failureReason(r, final.DeadlineReached)
+		}
 	}
 	for _, p := range r.parts {
 		c.releasePart(p)
--- a/request/group.go
+++ b/request/group.go
@@ -99,10 +99,7 @@
 	c := routeClass{idempotent: r.Idempotent, horizon: r.Horizon, setpoint: r.Setpoint, retries: r.Retries, rank: r.Rank,
 		floor: 1, gathered: gathered}
 	if gathered {
-		// An answer contains at least one part. The floor is rounded up to whole parts, since the policy treats a coverage just
-		// below the floor as sufficient.
-		n := float64(len(r.FanOut))
-		c.floor = max(1, math.Ceil(r.MinCoverage*n-1e-9)) / n
+		c.floor = float64(requiredParts(r)) / float64(len(r.FanOut))
 	}
 	i, ok := g.classes[c]
 	if !ok {
@@ -117,6 +114,12 @@
 	return i
 }
 
+// requiredParts returns how many parts an answer of a fanned-out route contains at least. The number is whole and not 0, since
+// the policy treats a coverage just below its floor as sufficient.
+func requiredParts(r *manifest.Route) int {
+	return max(1, int(math.Ceil(r.MinCoverage*float64(len(r.FanOut))-1e-9)))
+}
+
 // begin passes a request and its parts to the engine.
 func (g *group) begin(r *Request, left time.Duration) {
 	g.enterEngine(StepBegin)
@@ -157,16 +160,11 @@
 	g.leaveEngine()
 }
 
-// clientLeft ends a request without an answer.
-func (g *group) clientLeft(r *Request) {
+// drop makes the engine forget a request that ends without its decision.
+func (g *group) drop(r *Request) {
 	g.engine.Advance(g.coordinator.now)
 	g.engine.ClientLeft(r.id)
 	g.inFlight--
-	r.ended = true
-	delete(g.coordinator.requests, r.id)
-	for _, p := range r.parts {
-		g.coordinator.releasePart(p)
-	}
 }
 
 // returned passes the outcome of a dispatch to the engine.
@@ -223,11 +221,7 @@
 	if r == nil {
 		return
 	}
-	if r.errorReply != nil && len(r.Route.FanOut) == 0 {
-		p.group.coordinator.finish(r, Final{Kind: Relayed, Reply: r.errorReply})
-		return
-	}
-	p.group.coordinator.finish(r, Final{Kind: Failed, DeadlineReached: p.group.coordinator.deadlineReached(r)})
+	p.group.coordinator.finish(r, failure(r, p.group.coordinator.deadlineReached(r)))
 }
 
 // takeEnded returns a request that the engine has ended, and no longer counts it as in flight.
--- a/request/types.go
+++ b/request/types.go
@@ -63,6 +63,7 @@
 	DeadlinePassed  Reason = "its time was over"
 	MayHaveRun      Reason = "it may have run and cannot be sent again"
 	NoAttemptLeft   Reason = "no further try was left or allowed by the budget"
+	Stopping        Reason = "the proxy was stopped before it was answered"
 	InternalFault   Reason = "a fault in the proxy ended all that was in hand"
 )
 
