--- a/lab/soak/attempt_checks.go
+++ b/lab/soak/attempt_checks.go
@@ -77,22 +77,23 @@
 
 // lostByFront reports whether a front received an attempt and ended it without an answer, although its client stayed and its
 // searcher was not too slow.
-func (r *run) lostByFront(a *attempt) bool {
-	return a.status == 0 && !a.unsent && a.leftAt.IsZero() && !r.endedWithGrace(a)
+func (c *attemptChecker) lostByFront(a *attempt) bool {
+	return a.status == 0 && !a.unsent && a.leftAt.IsZero() && !c.endedWithGrace(a)
 }
 
 // endedWithGrace reports whether an attempt ended in the last sixth of the grace period of a terminating front, because its
-// searcher was still working on it.
-func (r *run) endedWithGrace(a *attempt) bool {
-	end, proxy := a.sent.Add(a.took), r.proxyName(a.front)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.injected, func(record *injectedFault) bool {
+// searcher was still working on it. Waiting in a searcher's queue is no work.
+func (c *attemptChecker) endedWithGrace(a *attempt) bool {
+	end, proxy := a.sent.Add(a.took), c.run.proxyName(a.front)
+	c.run.mu.Lock()
+	defer c.run.mu.Unlock()
+	return slices.ContainsFunc(c.run.injected, func(record *injectedFault) bool {
 		if record.process != proxy || record.kind != Terminate && record.kind != TerminateTwice {
 			return false
 		}
-		late := end.Sub(record.from)
-		return a.sent.Sub(record.from) <= graceExcuse && late >= drainGrace*5/6 && late <= drainGrace+graceSlack
+		late, lastSixth := end.Sub(record.from), record.from.Add(drainGrace*5/6)
+		return a.sent.Sub(record.from) <= graceExcuse && !end.Before(lastSixth) && late <= drainGrace+graceSlack &&
+			slices.ContainsFunc(c.entries[a.id], func(e *faulty.Entry) bool { return e.Ran && (e.Ended.IsZero() || e.Ended.After(lastSixth)) })
 	})
 }
 
@@ -100,7 +101,7 @@
 // no excuse, other faults of the front are.
 func (c *attemptChecker) checkLost(a *attempt) {
 	end := a.sent.Add(a.took)
-	if !c.run.lostByFront(a) || a.timedOut || !c.undisturbed(a, end, PlannedKinds...) {
+	if !c.lostByFront(a) || a.timedOut || !c.undisturbed(a, end, PlannedKinds...) {
 		return
 	}
 	entries := c.entries[a.id]
@@ -125,7 +126,7 @@
 		return
 	}
 	failed := a.status >= http.StatusInternalServerError && a.status != http.StatusServiceUnavailable
-	if failed || c.run.lostByFront(a) && !c.crossedClose(a) {
+	if failed || c.lostByFront(a) && !c.crossedClose(a) {
 		c.run.violation("lost in planned work: %s at front %d: status %d %s", a.id, a.front, a.status, a.failure)
 	}
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -33,16 +33,26 @@
 // inject injects one fault and returns once it is over and the affected processes run again.
 func (r *run) inject(f Fault) {
 	record := &injectedFault{kind: f.Kind, process: r.pickProcess(f.Target).Name, affects: r.affectedMachines(f)}
-	r.mu.Lock()
-	record.from = time.Now()
-	r.injected = append(r.injected, record)
-	r.mu.Unlock()
+	r.record(record)
 	r.logf("begin %v", f)
 	r.perform(f)
 	r.logf("end   %v", f)
+	r.recordEnd(record)
+}
+
+// record adds a fault that begins now.
+func (r *run) record(fault *injectedFault) {
 	r.mu.Lock()
-	record.to = time.Now()
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	fault.from = time.Now()
+	r.injected = append(r.injected, fault)
+}
+
+// recordEnd records that a fault is over.
+func (r *run) recordEnd(fault *injectedFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fault.to = time.Now()
 }
 
 // affectedMachines returns a predicate for the machines that a fault affects. Faults of searchers, operators and clients
@@ -50,7 +60,7 @@
 func (r *run) affectedMachines(f Fault) func(machine string) bool {
 	switch f.Kind {
 	case SearcherCrash, SearcherUnresponsive, SearcherDrain, SearcherDelete, SearcherReassign, SearcherMisbehaving,
-		SearcherReset, SearcherSlow, SearcherFailing, SearcherFreeze, FreezeMany, ReassignMany, LoadBurst, ConfigRace,
+		SearcherReset, SearcherSlow, SearcherQueue, SearcherFailing, SearcherFreeze, FreezeMany, ReassignMany, LoadBurst, ConfigRace,
 		ConfigStorm, Reshard, MalformedRequests, DropResponses:
 		return func(string) bool { return false }
 	case KillProcess, KillRepeatedly, Freeze, Terminate, TerminateTwice, TerminateEarly, Reload, ReloadEarly, ReloadTorn:
--- a/lab/soak/multi_faults.go
+++ b/lab/soak/multi_faults.go
@@ -4,13 +4,17 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"peathollow/internal/standin/faulty"
 )
 
 // Bounds of faults that affect many processes or searchers, some several times in a row.
 const (
 	maxSeries       = 3 // times that a fault is repeated
 	maxSeriesGap    = 300 * time.Millisecond
-	minReplaceRatio = 3 // at most one in this many searchers is replaced
+	minReplaceRatio = 3                      // at most one in this many searchers is replaced
+	queueWork       = 2 * time.Second        // of a searcher whose service is to have queues
+	queueLead       = 500 * time.Millisecond // for queues to form before a front is terminated
 )
 
 // freezeSearcher pauses a searcher for a while.
@@ -32,6 +36,8 @@
 		r.reassignAddresses(f)
 	case FreezeFronts:
 		r.freezeFronts(f)
+	case SearcherQueue:
+		r.terminateWithQueues(f)
 	case Reshard:
 		r.operators.reshard(r.ctx)
 	default:
@@ -53,6 +59,41 @@
 	return taken
 }
 
+// takeService reserves all searchers of a service that are free.
+func (r *run) takeService(service string) (taken []*searcher) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.searchers {
+		if !r.affected[s] && s.Service() == service {
+			r.affected[s] = true
+			taken = append(taken, s)
+		}
+	}
+	return taken
+}
+
+// terminateWithQueues makes the searchers of a service so slow that requests wait in their queues, and terminates a front
+// meanwhile: requests that it has sent on are still waiting when its grace period ends.
+func (r *run) terminateWithQueues(f Fault) {
+	services := r.schedule.Shape.services()
+	var wg sync.WaitGroup
+	for _, s := range r.takeService(services[f.SecondTarget%len(services)]) {
+		wg.Go(func() {
+			r.runScript(s, queueLead+drainGrace+f.Duration, func(c faulty.Call) faulty.Reply {
+				return faulty.Reply{Work: queueWork/2 + rand.N(queueWork)}
+			})
+		})
+	}
+	r.sleep(queueLead)
+	fronts := r.activeProcesses("proxy")
+	proxy := fronts[f.Target%len(fronts)]
+	termination := &injectedFault{kind: Terminate, process: proxy.Name, affects: r.onlyMachine(proxy.Machine)}
+	r.record(termination)
+	r.terminate(proxy, 0)
+	r.recordEnd(termination)
+	wg.Wait()
+}
+
 // freezeSearchers pauses many searchers several times; what was sent to them during a pause is still unread when they resume.
 func (r *run) freezeSearchers(f Fault) {
 	frozen := r.takeFraction(1+f.Variant%4, f.Target)
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -48,6 +48,7 @@
 	SearcherMisbehaving  Kind = "searcher-rude"    // a searcher violates the HTTP protocol
 	SearcherReset        Kind = "searcher-reset"   // a searcher's connections are reset
 	SearcherSlow         Kind = "searcher-slow"    // a searcher takes many times as long for each request
+	SearcherQueue        Kind = "searcher-queue"   // all searchers of a service get slow and have queues, while a front terminates
 	SearcherFailing      Kind = "searcher-failing" // a searcher fails some of its requests
 	SearcherFreeze       Kind = "searcher-freeze"  // a searcher pauses, neither reading nor writing, and resumes where it stopped
 	FreezeMany           Kind = "freeze-many"      // many searchers pause and resume, several times
@@ -66,7 +67,7 @@
 	SplitControllers, SlowLinks, ResetConnections, DropResponses, WipeDisk, WipeAndKillAll, ReplaceController, SearcherCrash,
 	SearcherUnresponsive, SearcherDrain, SearcherDelete, SearcherReassign, SearcherMisbehaving, SearcherReset, SearcherSlow,
 	SearcherFailing, LoadBurst, ConfigRace, ConfigStorm, MalformedRequests, SearcherFreeze, FreezeMany, ReassignMany,
-	FreezeFronts, Reshard}
+	FreezeFronts, Reshard, SearcherQueue}
 
 // PlannedKinds lists the kinds that are planned maintenance: they must not make any client request fail.
 var PlannedKinds = []Kind{Terminate, TerminateTwice, Reload, ReloadTorn, SearcherDrain, SearcherDelete, ConfigRace,
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -14,6 +14,7 @@
 
 	"peathollow/internal/standin/faulty"
 	"peathollow/internal/standin/localsystem"
+	"peathollow/internal/standin/rig"
 )
 
 // TestScheduleDependsOnSeed checks that a seed always draws the same schedule, that different seeds draw different ones, and
@@ -72,6 +73,22 @@
 	arriveFor(t, s, s.ID(), lines...)
 }
 
+// keepWorking sends a request to a searcher, which works on it until the end of the test.
+func keepWorking(t *testing.T, s *searcher, lines ...string) {
+	t.Helper()
+	s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Work: time.Hour} })
+	c, err := net.Dial("tcp", s.Addr())
+	must.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = c.Write([]byte(strings.Join(lines, "\r\n") + "\r\nHost: " + host + "\r\nTarget-Searcher: " + s.ID() + "\r\n\r\n"))
+	must.NoError(t, err)
+	rig.Eventually(t, func() bool {
+		entries := s.Ledger().Entries()
+		last := entries[len(entries)-1]
+		return last.Ran && last.Ended.IsZero()
+	})
+}
+
 // arriveFor sends a request to a searcher that names another one as its target.
 func arriveFor(t *testing.T, s *searcher, target string, lines ...string) {
 	t.Helper()
@@ -220,10 +237,15 @@
 			r.injected = append(r.injected, terminatingFront(drainGrace*2/3))
 			return false
 		},
-		"planned work, the searcher takes the whole grace": func(r *run, s *searcher) bool {
+		"planned work, the searcher works until the end of the grace period": func(r *run, s *searcher) bool {
 			r.injected = append(r.injected, terminatingFront(drainGrace*9/10))
+			keepWorking(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: get-1-0")
 			return true
 		},
+		"planned work, the searcher has not begun to work on it": func(r *run, s *searcher) bool {
+			r.injected = append(r.injected, terminatingFront(drainGrace*9/10))
+			return false
+		},
 		"another front": func(r *run, s *searcher) bool {
 			r.injected = append(r.injected, &injectedFault{kind: Freeze, affects: r.onlyMachine("front-1")})
 			return false
