Controller: calls in hand are finished when it is stopped

What callers saw: a controller that was stopped gave calls in hand 300 ms and then cut them. An operator's order, or a searcher's leaving, had taken effect and was acknowledged nowhere; its caller had to find that out at another controller.

Change: the calls get the time within which each of them is answered (callTimeout), a quarter of the grace period at most.

Evidence: TestCallsInFlightAreFinished fails with the former 300 ms (unexpected EOF) and passes now.

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -219,11 +220,17 @@
 	case <-time.After(min(handoverTimeout, c.settings.Grace/2)):
 	}
 	c.log.Info().Str("event", "left").Msg("")
-	shutdownCtx, cancel := context.WithTimeout(ctx, lastCallsTimeout)
+	finishCalls(server, c.settings.Grace)
+	return nil
+}
+
+// finishCalls waits for the calls in flight, each of which is answered within callTimeout, and closes the server. A call that is
+// cut off instead may have taken effect without an acknowledgement.
+func finishCalls(server *http.Server, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(lastCallsTimeout, grace/4))
 	defer cancel()
-	server.Shutdown(shutdownCtx)
+	server.Shutdown(ctx)
 	server.Close()
-	return nil
 }
 
 // Close waits for the goroutines that use the store and closes it. It must be called after Run has returned.
@@ -233,7 +240,7 @@
 }
 
 // lastCallsTimeout is how long calls in flight may take once everything is handed over.
-const lastCallsTimeout = 300 * time.Millisecond
+const lastCallsTimeout = callTimeout + 100*time.Millisecond
 
 // maintain runs the periodic work: contact, expiry of the list and heartbeats for monitored mixers.
 func (c *Controller) maintain(ctx context.Context) {
--- a/controlplane/server_test.go
+++ b/controlplane/server_test.go
@@ -1,9 +1,14 @@
 package controlplane
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
 
 	"peathollow/internal/standin/pipes"
 )
@@ -20,3 +25,30 @@
 		ln.CheckStalledReader(t, size, writeTimeout)
 	})
 }
+
+// TestCallsInFlightAreFinished guards against cutting off calls when their controller is stopped: an order, or the leaving of a
+// searcher, had taken effect and was acknowledged nowhere.
+func TestCallsInFlightAreFinished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for took, finished := range map[time.Duration]bool{callTimeout: true, time.Hour: false} {
+			listener := make(pipes.Listener)
+			server := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(took):
+				case <-r.Context().Done():
+				}
+			}))
+			go server.Serve(listener)
+			c := listener.Dial()
+			_, err := io.WriteString(c, "PUT /config HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+			must.NoError(t, err)
+			synctest.Wait()
+			started := time.Now()
+			go finishCalls(server, 10*time.Second)
+			_, err = http.ReadResponse(bufio.NewReader(c), nil)
+			must.Eq(t, finished, err == nil, must.Sprint(err))
+			must.LessEq(t, lastCallsTimeout, time.Since(started))
+			c.Close()
+		}
+	})
+}
