Groups of services: a key that no other list of names has

Cause: groupFor joined the names by commas to the key of their group. Both lists had the same key, and shared the group.

Change: the key is a type of its own in which each name is preceded by its length. Invariant dispatch_within_service: whoever chooses a searcher of another service is reported.

With the former key the simulation of requests, whose services now have names like that, ends with dispatch_within_service.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -27,6 +27,8 @@
 	DeadlineWithinClients Name = "deadline_within_clients"
 	// ReadySearcherChosen requires that a searcher known to be draining or removed is not chosen.
 	ReadySearcherChosen Name = "ready_searcher_chosen"
+	// DispatchWithinService requires that a request is sent to searchers of the service that it is for.
+	DispatchWithinService Name = "dispatch_within_service"
 	// InFlightBalance requires that the requests in flight are those accepted less those ended.
 	InFlightBalance Name = "in_hand_balance"
 	// DispatchEnds requires that no attempt is outstanding long after its deadline.
--- a/request/check.go
+++ b/request/check.go
@@ -35,12 +35,12 @@
 			}
 		}
 	}
-	for key, g := range c.groups {
+	for _, g := range c.groups {
 		if g.inFlight != inFlight[g] {
-			return fmt.Errorf("group %s counts %d requests in flight, there are %d", key, g.inFlight, inFlight[g])
+			return fmt.Errorf("group %q counts %d requests in flight, there are %d", g.services, g.inFlight, inFlight[g])
 		}
 		if err := c.checkMembers(g, outstanding); err != nil {
-			return fmt.Errorf("group %s: %w", key, err)
+			return fmt.Errorf("group %q: %w", g.services, err)
 		}
 	}
 	return nil
--- a/request/coordinator.go
+++ b/request/coordinator.go
@@ -36,7 +36,7 @@
 	now         time.Duration
 	rng         *rand.Rand
 	budget      *retrybudget.Budget
-	groups      map[string]*group
+	groups      map[groupKey]*group
 	searchers   map[string]*Searcher // by id
 	misdirected map[string]misdirection
 	suspects    suspects
@@ -61,7 +61,7 @@
 // New returns a Coordinator without requests.
 func New(config Config, now time.Duration) *Coordinator {
 	c := &Coordinator{config: config, now: now, rng: rand.New(rand.NewPCG(config.Seed, 0)),
-		groups: map[string]*group{}, searchers: map[string]*Searcher{}, parts: map[uint64]*part{}, requests: map[uint64]*Request{}}
+		groups: map[groupKey]*group{}, searchers: map[string]*Searcher{}, parts: map[uint64]*part{}, requests: map[uint64]*Request{}}
 	if previous := config.Previous; previous != nil {
 		c.budget, c.misdirected, c.suspects = previous.budget, previous.misdirected, previous.suspects
 		c.stopAt = previous.stopAt
--- a/request/group.go
+++ b/request/group.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"peathollow/internal/invariant"
@@ -35,10 +34,10 @@
 	members     map[string]*member // by id
 	byIndex     []*member          // by the engine's searcher index; nil where free
 	freeIndexes []int
-	key         string // in Coordinator.groups
-	inFlight    int    // number of requests
-	failed      bool   // after a panic in it; see Contain
-	idle        bool   // its periodic tick is suspended until the next request
+	key         groupKey
+	inFlight    int  // number of requests
+	failed      bool // after a panic in it; see Contain
+	idle        bool // its periodic tick is suspended until the next request
 }
 
 // member is the state of a searcher within a group.
@@ -61,13 +60,15 @@
 
 // groupFor returns the group of a set of services, and creates it if necessary.
 func (c *Coordinator) groupFor(services []string) *group {
-	key := strings.Join(services, ",")
-	if g := c.groups[key]; g != nil {
+	var buffer [256]byte
+	encoded := appendGroupKey(buffer[:0], services)
+	if g := c.groups[groupKey(encoded)]; g != nil {
 		return g
 	}
+	key := groupKey(encoded)
 	if len(c.groups) >= maxGroups {
 		// Dispatches in flight keep a reference to their group and still return to it.
-		maps.DeleteFunc(c.groups, func(_ string, g *group) bool { return g.idle })
+		maps.DeleteFunc(c.groups, func(_ groupKey, g *group) bool { return g.idle })
 	}
 	g := &group{coordinator: c, key: key, services: services, classes: map[routeClass]int{}, members: map[string]*member{}}
 	g.engine = policy.New(policy.Settings{Seed: c.config.Seed, Mixers: 1, Shards: len(services), ShardSpan: 1, PartsPerCall: 1,
--- a/request/invariants.go
+++ b/request/invariants.go
@@ -24,6 +24,9 @@
 	if len(p.dispatches) > 0 && !c.budget.Allows(c.now, p.service, c.budgetUntil) {
 		invariant.Violated(invariant.AttemptsWithinBudget, "service %s: attempt %d", p.service, len(p.dispatches)+1)
 	}
+	if m.Service != p.service {
+		invariant.Violated(invariant.DispatchWithinService, "searcher %s is of service %q, the request is for %q", m.ID, m.Service, p.service)
+	}
 	if m.State != policy.Ready {
 		invariant.Violated(invariant.ReadySearcherChosen, "searcher %s is %v", m.ID, m.State)
 	}
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -22,6 +22,9 @@
 	for i := range 6 {
 		sim.services = append(sim.services, fmt.Sprint("s", sim.version/3+i))
 	}
+	// The name of one service is a join of the names of others.
+	separators := []string{",", ", ", "/", "\x00", " ", "\n"}
+	sim.services[0] = strings.Join(sim.services[3:6], separators[sim.version/3%len(separators)])
 	services, rng := sim.services, sim.rng
 	times := func() (time.Duration, time.Duration) {
 		return time.Duration(300+rng.IntN(500)) * ms, time.Duration(80+rng.IntN(100)) * ms
