Names: what else joins, splits or prefixes them holds for any name

A machine with a slash in its name counted once for each of its incarnations; a route could hide another one from 'config diff'; a seal with a comma became two entries of Part-Seals; a searcher whose id no header can carry was listed, and no request ever reached it; a service whose name is not UTF-8 kept a process from reporting any metric; a tab in a name broke the operators' tables.

Change: each of these, with a test. The soak and the control simulation have services whose names are joins of other names, with commas, quotes, slashes, percent signs, newlines and non-ASCII letters.

TestCountMixers with a slash, TestDiffTellsRoutesApart, TestLabelsOfAnyName, TestTables, TestSealThatIsAListIsNoPart and TestSearcherThatNoHeaderCanNameIsRefused guard the rest.

--- a/cmd/peathollow/operate.go
+++ b/cmd/peathollow/operate.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -129,17 +130,24 @@
 			if i > 0 {
 				fmt.Fprint(t, "\t")
 			}
-			if s := fmt.Sprint(cell); s == "" {
-				fmt.Fprint(t, "-")
-			} else {
-				fmt.Fprint(t, s)
-			}
+			fmt.Fprint(t, tableCell(fmt.Sprint(cell)))
 		}
 		fmt.Fprintln(t)
 	}
 	return t.Flush()
 }
 
+// tableCell returns what a table shows for a value. Characters that would break the table are quoted.
+func tableCell(value string) string {
+	switch {
+	case value == "":
+		return "-"
+	case strings.ContainsFunc(value, func(c rune) bool { return !unicode.IsPrint(c) }):
+		return strconv.Quote(value)
+	}
+	return value
+}
+
 func status() *cli.Command {
 	var r systemFlags
 	return r.command(&cli.Command{Name: "status", Usage: "Show the controllers of a running system, each with its own view of the group"}, 0,
--- a/cmd/peathollow/operate_test.go
+++ b/cmd/peathollow/operate_test.go
@@ -51,11 +51,15 @@
 			{Node: "front-1", Role: client.Front, Version: 6, LastContactMs: 40, Via: "core-1"}})
 	})
 	golden(t, `
-service  id   address      zone  state  capacity  slow for  software  reports to
-s0       i-7  10.1.0.9:80  a     ready  8         1.5s      v1        core-1
+service   id   address      zone  state  capacity  slow for  software  reports to
+s0        i-7  10.1.0.9:80  a     ready  8         1.5s      v1        core-1
+"s\t0\n"  é,   10.1.0.9:80  a     ready  8         1.5s      v1        core-1
 `, func(out *bytes.Buffer) error {
-		return showSearchers(out, []client.Searcher{{ID: "i-7", Service: "s0", Address: "10.1.0.9:80", Zone: "a", State: "ready",
-			Capacity: 8, WarmupLeftMs: 1500, ConfigVersion: "v1", Source: "core-1"}})
+		row := client.Searcher{ID: "i-7", Service: "s0", Address: "10.1.0.9:80", Zone: "a", State: "ready",
+			Capacity: 8, WarmupLeftMs: 1500, ConfigVersion: "v1", Source: "core-1"}
+		other := row
+		other.Service, other.ID = "s\t0\n", "é,"
+		return showSearchers(out, []client.Searcher{row, other})
 	})
 }
 
--- a/controlplane/endpoints.go
+++ b/controlplane/endpoints.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
 	"github.com/zeebo/xxh3"
+	"golang.org/x/net/http/httpguts"
 
 	"peathollow/consensus"
 	"peathollow/distribution"
@@ -194,6 +196,9 @@
 	if distribution.Reserved(id) || distribution.Reserved(s.Plant) {
 		return s, "id or plant: reserved"
 	}
+	if !httpguts.ValidHeaderFieldValue(id) || strings.TrimSpace(id) != id {
+		return s, "id: not a value that the header Target-Searcher can have"
+	}
 	if len(id) > 256 || len(s.Plant) > 256 || len(s.Address) > 256 || s.Plant == "" || s.Address == "" || s.Capacity < 0 {
 		return s, "plant, address or capacity: missing or invalid"
 	}
--- a/controlplane/leave_test.go
+++ b/controlplane/leave_test.go
@@ -56,3 +56,13 @@
 		must.Eq(t, http.StatusServiceUnavailable, statusOf(c, "DELETE", "/searchers/i-1", ""))
 	})
 }
+
+// TestSearcherThatNoHeaderCanNameIsRefused guards against listing a searcher whose id Target-Searcher can't carry: no request would
+// ever reach it.
+func TestSearcherThatNoHeaderCanNameIsRefused(t *testing.T) {
+	c := singleController(t)
+	const body = `{"plant":"a,b \"c\"/%","address":"10.8.0.1:80","zone":"z","capacity":1,"state":"ready","call-count":1}`
+	for id, want := range map[string]int{"i-1,i-2": 200, "%C3%A9%2F%25": 200, "a%20b": 200, "a%0Ab": 400, "%20a": 400, "a%7F": 400, "%00a": 400} {
+		must.Eq(t, want, statusOf(c, "PUT", "/searchers/"+id, body), must.Sprint(id))
+	}
+}
--- a/controlplane/simulation/check.go
+++ b/controlplane/simulation/check.go
@@ -90,7 +90,7 @@
 	var listed map[string]registry.State
 	f.proxy.replica.WithRegistry(func(r *registry.Registry) bool {
 		listed = map[string]registry.State{}
-		for e := range r.Service("p") {
+		for e := range r.Service(serviceName) {
 			listed[e.ID] = e.State
 		}
 		return false
--- a/controlplane/simulation/clients.go
+++ b/controlplane/simulation/clients.go
@@ -80,8 +80,14 @@
 	return version
 }
 
+// serviceName is the name of the only service. A name may hold any character; serviceJSON is its form in a document.
+const (
+	serviceName = "p,q \"r\"/é%"
+	serviceJSON = `"p,q \"r\"/é%"`
+)
+
 func document(version uint64, tag string) []byte {
-	return fmt.Appendf(nil, `{"config-version":%d,"routes":[{"name":"a","host":"%s","path-prefix":"/","mode":"idempotent","horizon-ms":900,"plant":"p"}],"plants":[{"name":"p"}],"limits":{}}`, version, tag)
+	return fmt.Appendf(nil, `{"config-version":%d,"routes":[{"name":"a","host":"%s","path-prefix":"/","mode":"idempotent","horizon-ms":900,"plant":%s}],"plants":[{"name":%s}],"limits":{}}`, version, tag, serviceJSON, serviceJSON)
 }
 
 // runOperator submits changes until the run ends, several of them concurrently.
--- a/controlplane/simulation/scenarios_test.go
+++ b/controlplane/simulation/scenarios_test.go
@@ -129,9 +129,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, `{"config-version":%d,"routes":[`, version)
 	for i := range routes {
-		fmt.Fprintf(&b, `{"name":"r%d","host":"h%d","path-prefix":"/p%d/","mode":"idempotent","horizon-ms":%d,"plant":"p"},`, i, i%7, i, 900+version%100)
+		fmt.Fprintf(&b, `{"name":"r%d","host":"h%d","path-prefix":"/p%d/","mode":"idempotent","horizon-ms":%d,"plant":%s},`, i, i%7, i, 900+version%100, serviceJSON)
 	}
-	fmt.Fprintf(&b, `{"name":"a","host":"h","path-prefix":"/","mode":"idempotent","horizon-ms":900,"plant":"p"}],"plants":[{"name":"p"}],"limits":{}}`)
+	fmt.Fprintf(&b, `{"name":"a","host":"h","path-prefix":"/","mode":"idempotent","horizon-ms":900,"plant":%s}],"plants":[{"name":%s}],"limits":{}}`, serviceJSON, serviceJSON)
 	return []byte(b.String())
 }
 
--- a/controlplane/simulation/searcher.go
+++ b/controlplane/simulation/searcher.go
@@ -91,8 +91,8 @@
 func (b *heartbeater) send(state string) bool {
 	for range 4 {
 		b.calls++
-		body := fmt.Appendf(nil, `{"plant":"p","address":"10.8.0.%d:80","zone":%q,"config-version":"v1","capacity":3,"state":%q,"warmup-left-ms":0,"call-count":%d}`,
-			b.slot+1, zone(b.slot), state, b.calls)
+		body := fmt.Appendf(nil, `{"plant":%s,"address":"10.8.0.%d:80","zone":%q,"config-version":"v1","capacity":3,"state":%q,"warmup-left-ms":0,"call-count":%d}`,
+			serviceJSON, b.slot+1, zone(b.slot), state, b.calls)
 		if b.sendOnce(http.MethodPut, body) {
 			return true
 		}
--- a/distribution/mixers.go
+++ b/distribution/mixers.go
@@ -32,13 +32,14 @@
 	Age               time.Duration // since it became silent
 }
 
-// Machine returns the machine's name in an incarnation's name, which has the form role/machine/nonce. It returns a name of any
-// other form unchanged.
+// Machine returns the machine's name in an incarnation's name, which has the form role/machine/nonce. The machine's name may hold
+// slashes. It returns a name of any other form unchanged.
 func (m *Mixer) Machine() string {
-	if parts := strings.Split(m.Incarnation, "/"); len(parts) == 3 {
-		return parts[1]
+	first, last := strings.IndexByte(m.Incarnation, '/'), strings.LastIndexByte(m.Incarnation, '/')
+	if first == last {
+		return m.Incarnation
 	}
-	return m.Incarnation
+	return m.Incarnation[first+1 : last]
 }
 
 // Searcher returns the registry entry of a mixer. A mixer that leaves is Draining and not Gone: it keeps serving during its
--- a/distribution/mixers_test.go
+++ b/distribution/mixers_test.go
@@ -18,7 +18,7 @@
 const chargeLifetime = 10 * time.Second
 
 // TestCountMixers checks that mixers are counted by machine and not by incarnation, and that a silent one counts until
-// chargeLifetime has passed.
+// chargeLifetime has passed. The machines' names hold a slash, which once made each incarnation count as a machine.
 func TestCountMixers(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1e9, 0)
@@ -26,7 +26,7 @@
 	calls := uint64(0)
 	heartbeat := func(machine, incarnation int, leaving bool) {
 		calls++
-		m := distribution.Mixer{Incarnation: fmt.Sprintf("agent/m%d/%d", machine, incarnation), Zone: "z", Calls: calls, Leaving: leaving,
+		m := distribution.Mixer{Incarnation: fmt.Sprintf("agent/hall/m%d/%d", machine, incarnation), Zone: "z", Calls: calls, Leaving: leaving,
 			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(machine)}), 7084)}
 		must.True(t, r.Heartbeat(now, m.Searcher()).Published)
 		got, ok := distribution.GetMixer(r, m.Incarnation)
--- a/internal/exporter/exporter.go
+++ b/internal/exporter/exporter.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
@@ -105,7 +106,7 @@
 	emit := func(name string, value float64, labels ...Label) {
 		names, values := make([]string, len(labels)), make([]string, len(labels))
 		for i, l := range labels {
-			names[i], values[i] = l.Name, l.Value
+			names[i], values[i] = l.Name, labelValue(l.Value)
 		}
 		kind := prometheus.GaugeValue
 		if strings.HasSuffix(name, "_total") {
@@ -119,3 +120,11 @@
 		emit("invariant_violations_total", float64(n), Label{"name", string(name)})
 	}
 }
+
+// labelValue returns a value that a label can have, which is UTF-8. Another one is quoted.
+func labelValue(value string) string {
+	if utf8.ValidString(value) {
+		return value
+	}
+	return strconv.QuoteToASCII(value)
+}
--- a/internal/exporter/exporter_test.go
+++ b/internal/exporter/exporter_test.go
@@ -28,3 +28,18 @@
 	must.StrContains(t, response.Body.String(), "peathollow_searchers_listed 4")
 	must.StrContains(t, response.Body.String(), `peathollow_invariant_violations_total{name="version_rises"} 1`)
 }
+
+// TestLabelsOfAnyName guards against a name that is not UTF-8 and keeps a process from reporting any metric.
+func TestLabelsOfAnyName(t *testing.T) {
+	response := httptest.NewRecorder()
+	handler := Handler(func(emit Emit) {
+		for _, service := range []string{"a,b", "\xff", "é\"\n"} {
+			emit("dispatches_total", 1, Label{"service", service})
+		}
+	})
+	handler.ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
+	must.Eq(t, 200, response.Code)
+	for _, want := range []string{`{service="a,b"} 1`, `{service="\"\\xff\""} 1`, `{service="é\"\n"} 1`} {
+		must.StrContains(t, response.Body.String(), want)
+	}
+}
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -69,7 +69,7 @@
 		}
 		return
 	}
-	if e.Path != a.path || e.Ran && (a.kind == "fan") == (service == single) {
+	if e.Path != a.path || e.Ran && (a.kind == "fan") == (service == r.schedule.Shape.singleService()) {
 		r.violation("unasked: %s of %s ran as %s at a searcher of %s", a.id, a.path, e.Path, service)
 	}
 	r.checkDrain(e, a)
--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -22,8 +23,19 @@
 // sets is the number of sets of shards; the fan-out route of a configuration names one of them.
 const sets = 2
 
-// shard returns the name of a shard of a set.
-func shard(set, i int) string { return fmt.Sprint([sets]string{"shard-", "other-"}[set], i) }
+// shard returns the name of a shard of a set. A name may hold any character.
+func shard(set, i int) string {
+	return fmt.Sprint([sets]string{"shard-", "other \"é\"/%2C,\n"}[set], i)
+}
+
+// maxJoinedNames bounds the name that singleService joins.
+const maxJoinedNames = 12
+
+// singleService returns the name of the service that is no shard. It is the join of the names of the shards of one set.
+func (s Shape) singleService() string {
+	shards := s.shardsOf(0)
+	return strings.Join(shards[:min(maxJoinedNames, len(shards))], ",")
+}
 
 // shardsOf returns the services of one set of shards.
 func (s Shape) shardsOf(set int) (names []string) {
@@ -35,7 +47,7 @@
 
 // services returns all services that searchers of a run belong to.
 func (s Shape) services() []string {
-	names := []string{single}
+	names := []string{s.singleService()}
 	for set := range sets {
 		names = append(names, s.shardsOf(set)...)
 	}
@@ -84,11 +96,11 @@
 	fan := newRoute("fan", "/fan/", "idempotent")
 	fan.TopK, fan.Coverage, fan.FanOut = topK, coverage, s.shardsOf(set)
 	once, get := newRoute("single", "/single/", "non_idempotent"), newRoute("get", "/get/", "idempotent")
-	once.Service, once.Rank, get.Service = single, 0, single
+	once.Service, once.Rank, get.Service = s.singleService(), 0, s.singleService()
 	doc.Routes = append(doc.Routes, fan, once, get)
 	for _, v := range known {
 		r := newRoute(fmt.Sprint("v", v), versionPath(v), "idempotent")
-		r.Service = single
+		r.Service = s.singleService()
 		doc.Routes = append(doc.Routes, r)
 	}
 	for _, name := range s.services() {
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -59,7 +59,7 @@
 	server, err := faulty.Start(faulty.Options{ID: "i-1", Ledger: r.system.Ledger})
 	must.NoError(t, err)
 	t.Cleanup(server.Close)
-	standIn, err := localsystem.NewSearcher(localsystem.SearcherOptions{Service: single, Control: []string{"127.0.0.1:1"}, Period: time.Hour, Server: faulty.Options{ID: "i-2", Ledger: r.system.Ledger}})
+	standIn, err := localsystem.NewSearcher(localsystem.SearcherOptions{Service: r.schedule.Shape.singleService(), Control: []string{"127.0.0.1:1"}, Period: time.Hour, Server: faulty.Options{ID: "i-2", Ledger: r.system.Ledger}})
 	must.NoError(t, err)
 	t.Cleanup(standIn.Close)
 	s := &searcher{Searcher: standIn}
@@ -132,7 +132,7 @@
 				arrive(t, s, "GET /get/1 HTTP/1.1", "Attempt-Id: "+id)
 			}
 		},
-		"over budget: " + single + " got": func(t *testing.T, r *run, s *searcher) { // misdirected arrivals, each of another request
+		"over budget: " + (&Options{}).shape(Shape{}).singleService() + " got": func(t *testing.T, r *run, s *searcher) { // misdirected arrivals, each of another request
 			intended, err := faulty.Start(faulty.Options{ID: "i-moved"})
 			must.NoError(t, err)
 			t.Cleanup(intended.Close)
--- a/manifest/diff.go
+++ b/manifest/diff.go
@@ -24,40 +24,46 @@
 	return Changes{
 		From:     a.Version,
 		To:       b.Version,
-		Routes:   diff(a.byName(), b.byName()),
-		Services: diff(a.Services, b.Services),
+		Routes:   diff(a.byKey(), b.byKey(), routeKey.String),
+		Services: diff(a.Services, b.Services, func(name string) string { return name }),
 		Limits:   a.Limits != b.Limits,
 	}
 }
 
-// byName returns the routes by name. The key of a route without a name, or with
-// the name of an earlier route, includes its host and prefix, which are unique.
-func (m *Manifest) byName() map[string]*Route {
-	routes := make(map[string]*Route, len(m.Routes))
+// routeKey identifies a route within a configuration. Host and prefix, which are unique, are set for a route without a name or
+// with the name of an earlier route.
+type routeKey struct{ name, host, prefix string }
+
+// String returns the route's name, and its place if the name alone does not identify it.
+func (k routeKey) String() string { return strings.TrimSpace(k.name + " " + k.host + k.prefix) }
+
+// byKey returns the routes by key.
+func (m *Manifest) byKey() map[routeKey]*Route {
+	routes := make(map[routeKey]*Route, len(m.Routes))
 	for _, r := range m.Routes {
-		name := r.Name
-		if name == "" || routes[name] != nil {
-			name = strings.TrimSpace(name + " " + r.Host + r.Prefix)
+		key := routeKey{name: r.Name}
+		if r.Name == "" || routes[key] != nil {
+			key.host, key.prefix = r.Host, r.Prefix
 		}
 		unindexed := *r
 		unindexed.Index = 0
-		routes[name] = &unindexed
+		routes[key] = &unindexed
 	}
 	return routes
 }
 
-// diff compares the values of two maps by key.
-func diff[T any](a, b map[string]*T) (n NameChanges) {
-	for name, before := range a {
-		if after := b[name]; after == nil {
-			n.Removed = append(n.Removed, name)
+// diff compares the values of two maps by key; name returns what a key is displayed as.
+func diff[K comparable, T any](a, b map[K]*T, name func(K) string) (n NameChanges) {
+	for key, before := range a {
+		if after := b[key]; after == nil {
+			n.Removed = append(n.Removed, name(key))
 		} else if !reflect.DeepEqual(before, after) {
-			n.Changed = append(n.Changed, name)
+			n.Changed = append(n.Changed, name(key))
 		}
 	}
-	for name := range b {
-		if a[name] == nil {
-			n.Added = append(n.Added, name)
+	for key := range b {
+		if a[key] == nil {
+			n.Added = append(n.Added, name(key))
 		}
 	}
 	slices.Sort(n.Added)
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -182,3 +182,12 @@
 		m.Route(r.Host, r.Prefix+"2f")
 	}
 }
+
+// TestDiffTellsRoutesApart guards against a route that hides another one from the comparison because its name is the join of the
+// other one's name and place.
+func TestDiffTellsRoutesApart(t *testing.T) {
+	before := &Manifest{Routes: []*Route{{Name: "a", Host: "h", Prefix: "/1/"}, {Name: "a", Host: "h", Prefix: "/2/"}}}
+	after := &Manifest{Routes: append([]*Route{{Name: "a h/2/", Host: "h", Prefix: "/3/"}}, before.Routes...)}
+	changes := Diff(before, after)
+	must.Eq(t, NameChanges{Added: []string{"a h/2/"}}, changes.Routes)
+}
--- a/proxy/responses_test.go
+++ b/proxy/responses_test.go
@@ -235,3 +235,20 @@
 	must.Greater(t, 100, len(r.Ledger.Entries()))
 	r.Check()
 }
+
+// TestSealThatIsAListIsNoPart guards against handing on a seal with a comma, which the client would read as two parts.
+func TestSealThatIsAListIsNoPart(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, time.Second)
+	r.Searcher("a", faulty.Options{})
+	r.Searcher("b", faulty.Options{Script: func(faulty.Call) faulty.Reply {
+		return faulty.Reply{Fault: faulty.NoSeal, Header: []string{"Answer-Seal: one, two"}}
+	}})
+	half := 0.5
+	r.Put(rig.Route{Prefix: "/", FanOut: []string{"a", "b"}, MinCoverage: &half, TopK: 4})
+	response := r.Do(rig.Request{Path: "/"})
+	must.Eq(t, 200, response.Status)
+	must.Eq(t, "1", response.Header.Get("Missing-Parts"))
+	must.StrNotContains(t, response.Header.Get("Part-Seals"), ",")
+	r.Check()
+}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -140,7 +141,7 @@
 func policyOutcome(response *upstream.Response, dispatch *request.Dispatch) policy.Outcome {
 	switch response.Outcome {
 	case upstream.Answered:
-		if promisesNotExecuted(response.Status) {
+		if promisesNotExecuted(response.Status) || len(dispatch.Request.Route.FanOut) > 0 && !listable(response.Seal) {
 			return policy.Failed
 		}
 		if response.Status >= 200 && response.Status < 300 || response.Status < 500 && len(dispatch.Request.Route.FanOut) == 0 {
@@ -170,6 +171,11 @@
 	return policy.Failed
 }
 
+// listable reports whether a seal can be an element of the list in Part-Seals.
+func listable(seal string) bool {
+	return !strings.ContainsRune(seal, ',') && strings.TrimSpace(seal) == seal
+}
+
 // promisesNotExecuted reports whether a status promises the client that its request has not run and never will. A searcher that
 // sends one without proof has run the request, so the status must not reach the client.
 func promisesNotExecuted(status int) bool {
