Upstream: a connection carries a request only once

What callers saw: a full searcher refused a payment, which was rightly sent to it again on the same connection.

Cause: a response names the try (Attempt-Id), not the dispatch, and the pool hands out the connection that was used last, which had carried the first dispatch of the same try.

Change: an exchange tells the pool which exchanges sent the same request to the searcher before; none of their connections is used again. A connection whose probe was refused counts as used. Invariant one_dispatch_per_connection. The stand-in 'faulty' combines a second copy with every fault and with refusals of a full searcher; the soak and the proxy's random tests draw them, beside a route with four tries.

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -29,6 +29,9 @@
 	ReadySearcherChosen Name = "ready_searcher_chosen"
 	// DispatchWithinService requires that a request is sent to searchers of the service that it is for.
 	DispatchWithinService Name = "dispatch_within_service"
+	// OneDispatchPerConnection requires that a connection carries no two dispatches of one request, whose responses could not be
+	// told apart.
+	OneDispatchPerConnection Name = "one_dispatch_per_connection"
 	// InFlightBalance requires that the requests in flight are those accepted less those ended.
 	InFlightBalance Name = "in_hand_balance"
 	// DispatchEnds requires that no attempt is outstanding long after its deadline.
--- a/internal/standin/faulty/reply.go
+++ b/internal/standin/faulty/reply.go
@@ -47,15 +47,24 @@
 	UntilClose                    // neither Content-Length nor chunks; the body ends with the connection
 	ShortLength                   // Content-Length of half the body, so that the other half is surplus
 	TrailingBytes                 // extra bytes after a complete response
-	DuplicateNow                  // a second copy of the response right after the first
-	DuplicateLate                 // a second copy of the response before the response to the next request
 	CloseAnnounced                // sends Connection: close and closes the connection
 	CloseUnannounced              // closes the connection after the response without announcing it
 )
 
+// SecondCopy says whether and when a second copy of a response is sent, be it good, faulty or a refusal.
+type SecondCopy uint8
+
+// The times of a second copy.
+const (
+	NoCopy   SecondCopy = iota
+	CopyNow             // right after the first
+	CopyLate            // once the next request has been read, before its response
+)
+
 // Reply says how the searcher handles a request. The zero value is a good response.
 type Reply struct {
 	Fault        Fault
+	SecondCopy   SecondCopy      // also of the refusal of a full searcher
 	Status       int             // default 200; 500 and 504 are sent by the searcher itself and count as run
 	Body         []byte          // nil: Records for the searcher and the path
 	Header       []string        // additional header lines, "Name: value"
--- a/internal/standin/faulty/server.go
+++ b/internal/standin/faulty/server.go
@@ -53,10 +53,10 @@
 // peer is one client connection.
 type peer struct {
 	*net.TCPConn
-	in           *bufio.Reader
-	nth          int    // requests read so far
-	idle         bool   // guarded by Server.mu
-	pendingBytes []byte // written before the next response
+	in       *bufio.Reader
+	nth      int    // requests read so far
+	idle     bool   // guarded by Server.mu
+	lateCopy []byte // written once the next request has been read
 }
 
 // Start starts a Server that listens and serves until Close is called.
@@ -256,6 +256,8 @@
 		s.waitWhilePaused() // bytes received during a pause count as read once it ends
 		p.nth++
 		c.Conn, c.Nth = conn, p.nth
+		p.Write(p.lateCopy)
+		p.lateCopy = nil
 		s.mu.Lock()
 		p.idle = false
 		script := s.script
@@ -285,12 +287,8 @@
 	return len(s.slots), s.waiting
 }
 
-// write sends the bytes of a response, preceded by any bytes left over from the previous one. The connection counts as
-// idle from then on.
+// write sends the bytes of a response. The connection counts as idle from then on.
 func (s *Server) write(p *peer, b []byte) bool {
-	if p.pendingBytes != nil {
-		b, p.pendingBytes = append(p.pendingBytes, b...), nil
-	}
 	s.mu.Lock()
 	p.idle = true
 	s.mu.Unlock()
--- a/internal/standin/faulty/work.go
+++ b/internal/standin/faulty/work.go
@@ -17,11 +17,11 @@
 		p.end(true)
 		return false
 	case r.RawResponse == nil && r.Fault != WrongID && c.Target != "" && c.Target != s.ID():
-		return s.write(p, s.render(c, &Reply{Fault: Misdirected}))
+		return s.respond(p, c, &Reply{Fault: Misdirected, SecondCopy: r.SecondCopy})
 	case c.AttemptID == "" && !probe && r.RawResponse == nil:
-		return s.write(p, s.render(c, &Reply{Status: 400, Header: []string{"Not-Executed: 1"}, Body: []byte{}}))
+		return s.respond(p, c, &Reply{Status: 400, Header: []string{"Not-Executed: 1"}, Body: []byte{}, SecondCopy: r.SecondCopy})
 	case r.Fault == Refuse, r.Fault == RefuseNoID, r.Fault == Misdirected:
-		return s.write(p, s.render(c, r))
+		return s.respond(p, c, r)
 	}
 
 	var closed <-chan struct{} // closed when the client closes the connection
@@ -43,7 +43,7 @@
 	case s.slots <- struct{}{}:
 	default:
 		if !s.enqueue() {
-			return s.write(p, s.render(c, &Reply{Fault: Refuse}))
+			return s.respond(p, c, &Reply{Fault: Refuse, SecondCopy: r.SecondCopy})
 		}
 		watch()
 		var acquired, disconnected bool
@@ -64,7 +64,7 @@
 		}
 		if !acquired {
 			stop()
-			return s.write(p, s.render(c, &Reply{Fault: Refuse}))
+			return s.respond(p, c, &Reply{Fault: Refuse, SecondCopy: r.SecondCopy})
 		}
 	}
 	s.ledger.set(e, func(e *Entry) { e.Ran = true })
@@ -79,7 +79,7 @@
 		return false
 	}
 	if !done {
-		return s.write(p, s.render(c, &Reply{Status: 504, Body: []byte{}}))
+		return s.respond(p, c, &Reply{Status: 504, Body: []byte{}, SecondCopy: r.SecondCopy})
 	}
 	return s.send(p, c, r)
 }
@@ -163,12 +163,21 @@
 			}
 		}
 		return true
-	case DuplicateNow:
-		return s.write(p, append(b, b...))
-	case DuplicateLate:
-		ok := s.write(p, b)
-		p.pendingBytes = b
-		return ok
+	}
+	return s.writeCopies(p, b, r.SecondCopy)
+}
+
+// respond writes a response and its second copy, if there is one.
+func (s *Server) respond(p *peer, c *Call, r *Reply) bool {
+	return s.writeCopies(p, s.render(c, r), r.SecondCopy)
+}
+
+func (s *Server) writeCopies(p *peer, b []byte, second SecondCopy) bool {
+	switch second {
+	case CopyNow:
+		b = append(b, b...)
+	case CopyLate:
+		p.lateCopy = b
 	}
 	return s.write(p, b)
 }
--- a/internal/standin/rig/check.go
+++ b/internal/standin/rig/check.go
@@ -22,8 +22,8 @@
 }
 
 // completeResponses are the faults with which the client still receives a complete response.
-var completeResponses = []faulty.Fault{faulty.NoFault, faulty.Trickle, faulty.Chunked, faulty.TrailingBytes, faulty.DuplicateNow,
-	faulty.DuplicateLate, faulty.CloseAnnounced, faulty.CloseUnannounced}
+var completeResponses = []faulty.Fault{faulty.NoFault, faulty.Trickle, faulty.Chunked, faulty.TrailingBytes,
+	faulty.CloseAnnounced, faulty.CloseUnannounced}
 
 // recordCalls wraps a script so that each request that reaches the searcher is checked and its reply is recorded.
 func (r *Rig) recordCalls(id string, script func(faulty.Call) faulty.Reply) func(faulty.Call) faulty.Reply {
--- a/internal/upstream/identity.go
+++ b/internal/upstream/identity.go
@@ -133,7 +133,9 @@
 	}
 	usedBefore := c.used
 	response, reuse, _ = c.roundTrip(&exchange, scratch, &p.opts, now)
-	c.used = usedBefore // a surplus response to a probe names its searcher, so the connection still counts as unused
+	if response.SearcherID != "" {
+		c.used = usedBefore // a surplus copy of the response names its searcher too, so it is not taken for a refusal
+	}
 	return response, reuse
 }
 
--- a/internal/upstream/identity_test.go
+++ b/internal/upstream/identity_test.go
@@ -254,3 +254,19 @@
 		t.Cleanup(func() { c.Close() })
 	}
 }
+
+// TestLateCopyOfARefusedProbe guards against taking a second copy of the refusal of a probe, which names neither a request nor a
+// searcher, for the refusal of the first request on the connection (review/2).
+func TestLateCopyOfARefusedProbe(t *testing.T) {
+	s, p := setup(t, faulty.Options{ID: "i-1", ScriptProbes: true, Script: func(faulty.Call) faulty.Reply {
+		return faulty.Reply{Fault: faulty.Refuse, SecondCopy: faulty.CopyLate}
+	}}, Options{ProbePath: probePath, ConfirmationTTL: time.Hour})
+	refused := p.Do(newTargetedExchange("i-1", "a1"))
+	must.True(t, refused.NeverExecuted())
+	must.Eq(t, 1, p.IdleConns())
+	s.SetScript(nil)
+	confirmed := newTargetedExchange("i-1", "a2") // it is identified meanwhile, and needs no probe
+	confirmed.AddressConfirmedUntil = time.Now().Add(time.Hour)
+	response := p.Do(confirmed)
+	must.Eq(t, s.Ledger().Ran("a2") > 0, !response.NeverExecuted(), must.Sprint(response.Outcome, response.Err))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -100,8 +101,9 @@
 	}
 	// It counts from the decision to send, which is based on what was known then.
 	connectDeadline := p.connectDeadline(exchange, now)
+	carriers := exchange.earlierCarriers()
 	for probes := 0; ; {
-		c, err := p.acquire(now)
+		c, err := p.acquire(now, carriers)
 		if c == nil && err == nil {
 			if c, err = p.dial(exchange, connectDeadline); err != nil {
 				p.discard(nil)
@@ -133,7 +135,9 @@
 				continue
 			}
 		}
+		checkCarrier(c, carriers)
 		response, reuse, retry := c.roundTrip(exchange, scratch, &p.opts, now)
+		exchange.recordCarrier(c, &response)
 		p.recordIdentity(c, &response, now)
 		switch {
 		case reuse:
@@ -174,25 +178,34 @@
 	return p.unsentResponse(exchange, Response{Outcome: ConnectFailed, Err: errors.Wrapf(err, "connect, searcher %s", p.addr)})
 }
 
-// acquire returns an idle connection. It returns nil without an error if a connection may be dialed, and counts it as open.
-func (p *Pool) acquire(now time.Time) (*conn, error) {
+// acquire returns the most recently used idle connection that is none of the excluded ones. It returns nil without an error if a
+// connection may be dialed, and counts it as open; an excluded idle connection gives way to it if the maximum is reached.
+func (p *Pool) acquire(now time.Time, excluded []*conn) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle[len(p.idle)-1] = nil
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.idleSince) < c.idleTimeout {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		expired := now.Sub(c.idleSince) >= c.idleTimeout
+		if !expired && slices.Contains(excluded, c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if !expired {
 			return c, nil
 		}
 		p.openCount--
 		c.nc.Close()
 	}
 	if p.openCount >= p.opts.MaxConns {
-		return nil, ErrFull
+		if len(p.idle) == 0 {
+			return nil, ErrFull
+		}
+		p.idle[0].nc.Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.openCount--
 	}
 	p.openCount++
 	return nil, nil
--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -92,10 +92,14 @@
 	// AddressConfirmedUntil is the time before which a new connection to the address is assumed to reach the searcher;
 	// see identity.go.
 	AddressConfirmedUntil time.Time
+	// Earlier holds the exchanges that have sent the same request, with the same AttemptID, to the searcher before. Their
+	// connections are not used again; see carrier.go.
+	Earlier []*Exchange
 
 	mu        sync.Mutex
 	cancelled bool
 	abort     func() // interrupts the operation that the exchange is blocked on
+	carrier   *conn  // the connection that the request was written to, or nil
 }
 
 // Cancel ends the exchange: Do returns promptly and closes the connection, because searchers drop work whose connection
--- a/internal/upstream/wire_test.go
+++ b/internal/upstream/wire_test.go
@@ -78,48 +78,49 @@
 
 // TestFaultyResponses checks outcome and connection reuse for each behavior of a searcher, on new and on used connections.
 func TestFaultyResponses(t *testing.T) {
-	for way, c := range map[faulty.Fault]struct {
-		want Outcome
-		ran  int
-		keep bool
+	for _, c := range []struct {
+		reply faulty.Reply
+		want  Outcome
+		ran   int
+		keep  bool
 	}{
-		faulty.NoFault:          {Answered, 1, true},
-		faulty.Chunked:          {Answered, 1, true},
-		faulty.Trickle:          {Answered, 1, true},
-		faulty.CloseUnannounced: {Answered, 1, true}, // detected by the next exchange
-		faulty.CloseAnnounced:   {Answered, 1, false},
-		faulty.TrailingBytes:    {Answered, 1, false},
-		faulty.DuplicateNow:     {Answered, 1, false},
-		faulty.ShortLength:      {Answered, 1, false},
-		faulty.Refuse:           {NotExecuted, 0, true},
-		faulty.Misdirected:      {NotExecuted, 0, true},
-		faulty.ResetBeforeRun:   {ConnectionLost, 0, false},
-		faulty.ResetAfterRun:    {ConnectionLost, 1, false},
-		faulty.CloseAfterRun:    {ConnectionLost, 1, false},
-		faulty.TruncateHead:     {ConnectionLost, 1, false},
-		faulty.TruncateBody:     {ConnectionLost, 1, false},
-		faulty.Garbage:          {InvalidResponse, 1, false},
-		faulty.WrongID:          {InvalidResponse, 1, false},
-		faulty.NoID:             {InvalidResponse, 1, false},
-		faulty.NoSeal:           {InvalidResponse, 1, false},
-		faulty.InvalidChunkSize: {InvalidResponse, 1, false},
-		faulty.LengthAndChunks:  {InvalidResponse, 1, false},
-		faulty.NoLength:         {InvalidResponse, 1, false},
-		faulty.UntilClose:       {InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.NoFault}, Answered, 1, true},
+		{faulty.Reply{Fault: faulty.Chunked}, Answered, 1, true},
+		{faulty.Reply{Fault: faulty.Trickle}, Answered, 1, true},
+		{faulty.Reply{Fault: faulty.CloseUnannounced}, Answered, 1, true}, // detected by the next exchange
+		{faulty.Reply{Fault: faulty.CloseAnnounced}, Answered, 1, false},
+		{faulty.Reply{Fault: faulty.TrailingBytes}, Answered, 1, false},
+		{faulty.Reply{SecondCopy: faulty.CopyNow}, Answered, 1, false},
+		{faulty.Reply{Fault: faulty.ShortLength}, Answered, 1, false},
+		{faulty.Reply{Fault: faulty.Refuse}, NotExecuted, 0, true},
+		{faulty.Reply{Fault: faulty.Misdirected}, NotExecuted, 0, true},
+		{faulty.Reply{Fault: faulty.ResetBeforeRun}, ConnectionLost, 0, false},
+		{faulty.Reply{Fault: faulty.ResetAfterRun}, ConnectionLost, 1, false},
+		{faulty.Reply{Fault: faulty.CloseAfterRun}, ConnectionLost, 1, false},
+		{faulty.Reply{Fault: faulty.TruncateHead}, ConnectionLost, 1, false},
+		{faulty.Reply{Fault: faulty.TruncateBody}, ConnectionLost, 1, false},
+		{faulty.Reply{Fault: faulty.Garbage}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.WrongID}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.NoID}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.NoSeal}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.InvalidChunkSize}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.LengthAndChunks}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.NoLength}, InvalidResponse, 1, false},
+		{faulty.Reply{Fault: faulty.UntilClose}, InvalidResponse, 1, false},
 	} {
 		for _, used := range []bool{false, true} {
 			s, p := setup(t, faulty.Options{ReportLoad: true}, Options{})
 			if used {
 				must.Eq(t, Answered, p.Do(newExchange("a0")).Outcome)
 			}
-			s.SetScript(func(faulty.Call) faulty.Reply { return faulty.Reply{Fault: way} })
+			s.SetScript(func(faulty.Call) faulty.Reply { return c.reply })
 			response := p.Do(newExchange("a1"))
-			must.Eq(t, c.want, response.Outcome, must.Sprint(way, used, response.Err))
+			must.Eq(t, c.want, response.Outcome, must.Sprint(c.reply, used, response.Err))
 			must.Eq(t, c.want == Answered || c.want == NotExecuted, response.Err == nil)
 			must.Eq(t, c.want == NotExecuted, response.NeverExecuted())
-			must.Eq(t, c.ran, s.Ledger().Ran("a1"), must.Sprint(way))
+			must.Eq(t, c.ran, s.Ledger().Ran("a1"), must.Sprint(c.reply))
 			must.Eq(t, 1, s.Ledger().Arrived("a1")) // the pool never repeats it
-			must.Eq(t, c.keep, p.IdleConns() == 1, must.Sprint(way, used))
+			must.Eq(t, c.keep, p.IdleConns() == 1, must.Sprint(c.reply, used))
 			must.Eq(t, p.IdleConns(), p.OpenConns())
 			must.Eq(t, !used, response.NewConnection)
 			must.True(t, response.Outcome != Answered || response.HasLoad)
@@ -142,7 +143,7 @@
 func TestLateSurplusResponse(t *testing.T) {
 	s, p := setup(t, faulty.Options{}, Options{})
 	s.SetScript(func(c faulty.Call) faulty.Reply {
-		return faulty.Reply{Fault: map[bool]faulty.Fault{true: faulty.DuplicateLate}[c.AttemptID == "a1"]}
+		return faulty.Reply{SecondCopy: map[bool]faulty.SecondCopy{true: faulty.CopyLate}[c.AttemptID == "a1"]}
 	})
 	must.Eq(t, Answered, p.Do(newExchange("a1")).Outcome)
 	must.Eq(t, InvalidResponse, p.Do(newExchange("a2")).Outcome)
--- a/lab/soak/budget_checks.go
+++ b/lab/soak/budget_checks.go
@@ -110,7 +110,7 @@
 // was sent.
 func (r *run) intendedServices(a *attempt) (names []string) {
 	if a.kind != "fan" {
-		return []string{r.schedule.Shape.singleService()}
+		return []string{r.schedule.Shape.serviceOf(a.kind)}
 	}
 	for set, active := range r.operators.setsAt(a.sent) {
 		if active {
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -53,7 +53,7 @@
 		}
 	}
 	for key, n := range arrivals {
-		if id, service, _ := strings.Cut(key, " "); sent[id] != nil && n > retries {
+		if id, service, _ := strings.Cut(key, " "); sent[id] != nil && n > maxRetries(sent[id].kind) {
 			r.violation("over its retries: %s reached %d searchers of %s", id, n, service)
 		}
 	}
@@ -61,6 +61,17 @@
 	r.checkAttempts(entries)
 }
 
+// servicesFor returns the services that some configuration allows requests of a kind to run at.
+func (r *run) servicesFor(kind string) (names []string) {
+	if kind != "fan" {
+		return []string{r.schedule.Shape.serviceOf(kind)}
+	}
+	for set := range sets {
+		names = append(names, r.schedule.Shape.shardsOf(set)...)
+	}
+	return names
+}
+
 // checkArrival checks one request that a searcher received.
 func (r *run) checkArrival(e *faulty.Entry, a *attempt, service string) {
 	if a == nil {
@@ -69,7 +80,7 @@
 		}
 		return
 	}
-	if e.Path != a.path || e.Ran && (a.kind == "fan") == (service == r.schedule.Shape.singleService()) {
+	if e.Path != a.path || e.Ran && !slices.Contains(r.servicesFor(a.kind), service) {
 		r.violation("unasked: %s of %s ran as %s at a searcher of %s", a.id, a.path, e.Path, service)
 	}
 	r.checkDrain(e, a)
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -80,9 +80,9 @@
 }
 
 func newLoad(r *run) *load {
-	// Two thirds of the requests go to one service.
+	// A third of the requests goes to each of the services that are no shards.
 	slots := r.schedule.Shape.Copies * capacity
-	l := &load{run: r, longEvery: 1 + int(float64(r.options.Rate)*2/3*longWork.Seconds())*longSlotRatio/slots}
+	l := &load{run: r, longEvery: 1 + int(float64(r.options.Rate)/3*longWork.Seconds())*longSlotRatio/slots}
 	l.sessions = &sessionPool{load: l}
 	return l
 }
@@ -240,7 +240,7 @@
 	if a.kind == "fan" {
 		missing, err = l.checkFanOut(a, h, body)
 	} else {
-		err = localsystem.CheckSingle(l.run.searcherIDs(l.run.schedule.Shape.singleService()), a.id, a.path, h, body)
+		err = localsystem.CheckSingle(l.run.searcherIDs(l.run.schedule.Shape.serviceOf(a.kind)), a.id, a.path, h, body)
 	}
 	if err != nil {
 		return err.Error()
--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -11,13 +11,16 @@
 const (
 	connLimit = 260 // connection limit of a searcher
 
-	host     = "try.example" // the host that the simulated searchers accept
-	single   = "single"
-	topK     = 10
-	retries  = 2
-	coverage = 0.6
-	horizon  = 2 * time.Second
-	setpoint = 200 * time.Millisecond
+	host    = "try.example" // the host that the simulated searchers accept
+	single  = "single"
+	topK    = 10
+	retries = 2
+	// onceRetries applies to the non-idempotent route. It is above the number of searchers of a service, so that one of them may get
+	// a request again that it has refused.
+	onceRetries = 4
+	coverage    = 0.6
+	horizon     = 2 * time.Second
+	setpoint    = 200 * time.Millisecond
 )
 
 // sets is the number of sets of shards; the fan-out route of a configuration names one of them.
@@ -31,12 +34,24 @@
 // maxJoinedNames bounds the name that singleService joins.
 const maxJoinedNames = 12
 
-// singleService returns the name of the service that is no shard. It is the join of the names of the shards of one set.
+// singleService returns the name of a service that is no shard. It is the join of the names of the shards of one set.
 func (s Shape) singleService() string {
 	shards := s.shardsOf(0)
 	return strings.Join(shards[:min(maxJoinedNames, len(shards))], ",")
 }
 
+// onceService is the service of the non-idempotent route. It has no other requests, so that a request that it has refused is often
+// the next one on its connection, too.
+const onceService = "once/é 100%"
+
+// serviceOf returns the service for requests of a kind that are not fanned out.
+func (s Shape) serviceOf(kind string) string {
+	if kind == single {
+		return onceService
+	}
+	return s.singleService()
+}
+
 // shardsOf returns the services of one set of shards.
 func (s Shape) shardsOf(set int) (names []string) {
 	for i := range s.Shards {
@@ -47,13 +62,21 @@
 
 // services returns all services that searchers of a run belong to.
 func (s Shape) services() []string {
-	names := []string{s.singleService()}
+	names := []string{s.singleService(), onceService}
 	for set := range sets {
 		names = append(names, s.shardsOf(set)...)
 	}
 	return names
 }
 
+// maxRetries returns how many searchers of a service a request of a kind may be sent to.
+func maxRetries(kind string) int {
+	if kind == single {
+		return onceRetries
+	}
+	return retries
+}
+
 type routeConfig struct {
 	Name     string   `json:"name"`
 	Host     string   `json:"host"`
@@ -96,7 +119,8 @@
 	fan := newRoute("fan", "/fan/", "idempotent")
 	fan.TopK, fan.Coverage, fan.FanOut = topK, coverage, s.shardsOf(set)
 	once, get := newRoute("single", "/single/", "non_idempotent"), newRoute("get", "/get/", "idempotent")
-	once.Service, once.Rank, get.Service = s.singleService(), 0, s.singleService()
+	once.Retries = onceRetries
+	once.Service, once.Rank, get.Service = s.serviceOf(once.Name), 0, s.serviceOf(get.Name)
 	doc.Routes = append(doc.Routes, fan, once, get)
 	for _, v := range known {
 		r := newRoute(fmt.Sprint("v", v), versionPath(v), "idempotent")
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -60,7 +60,7 @@
 func (r *run) affectedMachines(f Fault) func(machine string) bool {
 	switch f.Kind {
 	case SearcherCrash, SearcherUnresponsive, SearcherDrain, SearcherDelete, SearcherReassign, SearcherMisbehaving,
-		SearcherReset, SearcherSlow, SearcherQueue, SearcherFailing, SearcherFreeze, FreezeMany, ReassignMany, LoadBurst, ConfigRace,
+		SearcherReset, SearcherSlow, SearcherQueue, SearcherRefusing, SearcherFailing, SearcherFreeze, FreezeMany, ReassignMany, LoadBurst, ConfigRace,
 		ConfigStorm, Reshard, MalformedRequests, DropResponses:
 		return func(string) bool { return false }
 	case KillProcess, KillRepeatedly, Freeze, Terminate, TerminateTwice, TerminateEarly, Reload, ReloadEarly, ReloadTorn:
--- a/lab/soak/multi_faults.go
+++ b/lab/soak/multi_faults.go
@@ -13,6 +13,8 @@
 	maxSeries       = 3 // times that a fault is repeated
 	maxSeriesGap    = 300 * time.Millisecond
 	minReplaceRatio = 3                      // at most one in this many searchers is replaced
+	acceptRatio     = 3                      // one in this many requests is not refused
+	lateCopyRatio   = 2                      // one in this many responses is followed by a late second copy
 	queueWork       = 2 * time.Second        // of a searcher whose service is to have queues
 	queueLead       = 500 * time.Millisecond // for queues to form before a front is terminated
 )
@@ -38,6 +40,8 @@
 		r.freezeFronts(f)
 	case SearcherQueue:
 		r.terminateWithQueues(f)
+	case SearcherRefusing:
+		r.refuseRequests(f)
 	case Reshard:
 		r.operators.reshard(r.ctx)
 	default:
@@ -72,18 +76,23 @@
 	return taken
 }
 
-// terminateWithQueues makes the searchers of a service so slow that requests wait in their queues, and terminates a front
-// meanwhile: requests that it has sent on are still waiting when its grace period ends.
-func (r *run) terminateWithQueues(f Fault) {
+// runServiceScript makes the free searchers of a service follow a script for a while, then the default one. It returns a function
+// that waits for the end.
+func (r *run) runServiceScript(choice int, duration time.Duration, script func(faulty.Call) faulty.Reply) (wait func()) {
 	services := r.schedule.Shape.services()
 	var wg sync.WaitGroup
-	for _, s := range r.takeService(services[f.SecondTarget%len(services)]) {
-		wg.Go(func() {
-			r.runScript(s, queueLead+drainGrace+f.Duration, func(c faulty.Call) faulty.Reply {
-				return faulty.Reply{Work: queueWork/2 + rand.N(queueWork)}
-			})
-		})
+	for _, s := range r.takeService(services[choice%len(services)]) {
+		wg.Go(func() { r.runScript(s, duration, script) })
 	}
+	return wg.Wait
+}
+
+// terminateWithQueues makes the searchers of a service so slow that requests wait in their queues, and terminates a front
+// meanwhile: requests that it has sent on are still waiting when its grace period ends.
+func (r *run) terminateWithQueues(f Fault) {
+	wait := r.runServiceScript(f.SecondTarget, queueLead+drainGrace+f.Duration, func(faulty.Call) faulty.Reply {
+		return faulty.Reply{Work: queueWork/2 + rand.N(queueWork), SecondCopy: drawCopy()}
+	})
 	r.sleep(queueLead)
 	fronts := r.activeProcesses("proxy")
 	proxy := fronts[f.Target%len(fronts)]
@@ -91,7 +100,22 @@
 	r.record(termination)
 	r.terminate(proxy, 0)
 	r.recordEnd(termination)
-	wg.Wait()
+	wait()
+}
+
+// refuseRequests makes the searchers of a service refuse most of their requests, so that the same request is sent again to the same
+// searcher, and send late second copies of their responses, refusals and others.
+func (r *run) refuseRequests(f Fault) {
+	r.runServiceScript(f.SecondTarget, f.Duration, func(c faulty.Call) faulty.Reply {
+		reply := defaultScript(c)
+		if rand.IntN(acceptRatio) > 0 {
+			reply.Fault = faulty.Refuse
+		}
+		if rand.IntN(lateCopyRatio) == 0 {
+			reply.SecondCopy = faulty.CopyLate
+		}
+		return reply
+	})()
 }
 
 // freezeSearchers pauses many searchers several times; what was sent to them during a pause is still unread when they resume.
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -16,49 +16,50 @@
 
 // The kinds of faults.
 const (
-	KillProcess          Kind = "kill"             // SIGKILL, then restart
-	KillMachine          Kind = "kill-machine"     // kills all processes of one machine
-	KillControllers      Kind = "kill-core"        // kills all controllers at the same moment
-	KillAll              Kind = "kill-all"         // kills all processes
-	KillRepeatedly       Kind = "kill-repeatedly"  // kills a process several times, soon after each start
-	Freeze               Kind = "freeze"           // SIGSTOP, later SIGCONT
-	FreezeMachine        Kind = "freeze-machine"   // stops all processes of one machine
-	Terminate            Kind = "terminate"        // SIGTERM, restart after the process has exited
-	TerminateTwice       Kind = "terminate-twice"  // SIGTERM, then a second one during shutdown
-	TerminateEarly       Kind = "terminate-early"  // SIGTERM during startup
-	Reload               Kind = "reload"           // SIGHUP
-	ReloadEarly          Kind = "reload-early"     // SIGHUP during startup
-	ReloadTorn           Kind = "reload-torn"      // SIGHUP while the settings file is half written, then while it is missing
-	Partition            Kind = "cut"              // partitions two machines in both directions
-	PartitionOneWay      Kind = "cut-one-way"      // blocks traffic from one machine to another
-	Isolate              Kind = "isolate"          // separates a machine from all other machines of the system
-	IsolateOutside       Kind = "isolate-outside"  // separates a controller from searchers and operators
-	SplitControllers     Kind = "split-core"       // splits the controllers into two groups; all other machines reach both
-	SlowLinks            Kind = "slow"             // delays all traffic of a machine
-	ResetConnections     Kind = "reset"            // resets all connections of a machine
-	DropResponses        Kind = "lose-answers"     // drops the responses of controllers to searchers and operators
-	WipeDisk             Kind = "wipe-disk"        // kills a controller and deletes its disk
-	WipeAndKillAll       Kind = "wipe-and-kill"    // the same while all other processes are killed
-	ReplaceController    Kind = "replace-core"     // removes a controller for good; an empty one starts at another address
-	SearcherCrash        Kind = "searcher-crash"   // a searcher crashes; another one replaces it
-	SearcherUnresponsive Kind = "searcher-mute"    // a searcher accepts requests and never answers, then crashes
-	SearcherDrain        Kind = "searcher-drain"   // a searcher drains and deregisters
-	SearcherDelete       Kind = "searcher-delete"  // a searcher deregisters without draining first
-	SearcherReassign     Kind = "searcher-replace" // a searcher crashes; its address is reassigned to another service
-	SearcherMisbehaving  Kind = "searcher-rude"    // a searcher violates the HTTP protocol
-	SearcherReset        Kind = "searcher-reset"   // a searcher's connections are reset
-	SearcherSlow         Kind = "searcher-slow"    // a searcher takes many times as long for each request
-	SearcherQueue        Kind = "searcher-queue"   // all searchers of a service get slow and have queues, while a front terminates
-	SearcherFailing      Kind = "searcher-failing" // a searcher fails some of its requests
-	SearcherFreeze       Kind = "searcher-freeze"  // a searcher pauses, neither reading nor writing, and resumes where it stopped
-	FreezeMany           Kind = "freeze-many"      // many searchers pause and resume, several times
-	ReassignMany         Kind = "replace-many"     // many searchers crash; their addresses are reassigned to one other service
-	FreezeFronts         Kind = "freeze-fronts"    // many fronts pause and resume, several times
-	Reshard              Kind = "reshard"          // the configuration switches to the other set of shards
-	LoadBurst            Kind = "burst"            // clients send more requests than usual
-	ConfigRace           Kind = "race"             // two operators send different configurations under one version
-	ConfigStorm          Kind = "storm"            // configurations in quick succession
-	MalformedRequests    Kind = "abuse"            // clients send malformed requests
+	KillProcess          Kind = "kill"              // SIGKILL, then restart
+	KillMachine          Kind = "kill-machine"      // kills all processes of one machine
+	KillControllers      Kind = "kill-core"         // kills all controllers at the same moment
+	KillAll              Kind = "kill-all"          // kills all processes
+	KillRepeatedly       Kind = "kill-repeatedly"   // kills a process several times, soon after each start
+	Freeze               Kind = "freeze"            // SIGSTOP, later SIGCONT
+	FreezeMachine        Kind = "freeze-machine"    // stops all processes of one machine
+	Terminate            Kind = "terminate"         // SIGTERM, restart after the process has exited
+	TerminateTwice       Kind = "terminate-twice"   // SIGTERM, then a second one during shutdown
+	TerminateEarly       Kind = "terminate-early"   // SIGTERM during startup
+	Reload               Kind = "reload"            // SIGHUP
+	ReloadEarly          Kind = "reload-early"      // SIGHUP during startup
+	ReloadTorn           Kind = "reload-torn"       // SIGHUP while the settings file is half written, then while it is missing
+	Partition            Kind = "cut"               // partitions two machines in both directions
+	PartitionOneWay      Kind = "cut-one-way"       // blocks traffic from one machine to another
+	Isolate              Kind = "isolate"           // separates a machine from all other machines of the system
+	IsolateOutside       Kind = "isolate-outside"   // separates a controller from searchers and operators
+	SplitControllers     Kind = "split-core"        // splits the controllers into two groups; all other machines reach both
+	SlowLinks            Kind = "slow"              // delays all traffic of a machine
+	ResetConnections     Kind = "reset"             // resets all connections of a machine
+	DropResponses        Kind = "lose-answers"      // drops the responses of controllers to searchers and operators
+	WipeDisk             Kind = "wipe-disk"         // kills a controller and deletes its disk
+	WipeAndKillAll       Kind = "wipe-and-kill"     // the same while all other processes are killed
+	ReplaceController    Kind = "replace-core"      // removes a controller for good; an empty one starts at another address
+	SearcherCrash        Kind = "searcher-crash"    // a searcher crashes; another one replaces it
+	SearcherUnresponsive Kind = "searcher-mute"     // a searcher accepts requests and never answers, then crashes
+	SearcherDrain        Kind = "searcher-drain"    // a searcher drains and deregisters
+	SearcherDelete       Kind = "searcher-delete"   // a searcher deregisters without draining first
+	SearcherReassign     Kind = "searcher-replace"  // a searcher crashes; its address is reassigned to another service
+	SearcherMisbehaving  Kind = "searcher-rude"     // a searcher violates the HTTP protocol
+	SearcherReset        Kind = "searcher-reset"    // a searcher's connections are reset
+	SearcherSlow         Kind = "searcher-slow"     // a searcher takes many times as long for each request
+	SearcherQueue        Kind = "searcher-queue"    // all searchers of a service get slow and have queues, while a front terminates
+	SearcherRefusing     Kind = "searcher-refusing" // all searchers of a service refuse some of their requests and send second copies of responses
+	SearcherFailing      Kind = "searcher-failing"  // a searcher fails some of its requests
+	SearcherFreeze       Kind = "searcher-freeze"   // a searcher pauses, neither reading nor writing, and resumes where it stopped
+	FreezeMany           Kind = "freeze-many"       // many searchers pause and resume, several times
+	ReassignMany         Kind = "replace-many"      // many searchers crash; their addresses are reassigned to one other service
+	FreezeFronts         Kind = "freeze-fronts"     // many fronts pause and resume, several times
+	Reshard              Kind = "reshard"           // the configuration switches to the other set of shards
+	LoadBurst            Kind = "burst"             // clients send more requests than usual
+	ConfigRace           Kind = "race"              // two operators send different configurations under one version
+	ConfigStorm          Kind = "storm"             // configurations in quick succession
+	MalformedRequests    Kind = "abuse"             // clients send malformed requests
 )
 
 // Kinds lists all kinds of faults.
@@ -67,7 +68,8 @@
 	SplitControllers, SlowLinks, ResetConnections, DropResponses, WipeDisk, WipeAndKillAll, ReplaceController, SearcherCrash,
 	SearcherUnresponsive, SearcherDrain, SearcherDelete, SearcherReassign, SearcherMisbehaving, SearcherReset, SearcherSlow,
 	SearcherFailing, LoadBurst, ConfigRace, ConfigStorm, MalformedRequests, SearcherFreeze, FreezeMany, ReassignMany,
-	FreezeFronts, Reshard, SearcherQueue}
+	FreezeFronts, Reshard, SearcherQueue,
+	SearcherRefusing}
 
 // PlannedKinds lists the kinds that are planned maintenance: they must not make any client request fail.
 var PlannedKinds = []Kind{Terminate, TerminateTwice, Reload, ReloadTorn, SearcherDrain, SearcherDelete, ConfigRace,
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -196,16 +196,28 @@
 	// ShortLength is left out: a body that is complete by its Content-Length can't be recognized as truncated.
 	ways := []faulty.Fault{faulty.Refuse, faulty.RefuseNoID, faulty.ResetBeforeRun, faulty.ResetAfterRun, faulty.CloseAfterRun, faulty.TruncateHead, faulty.TruncateBody, faulty.Garbage,
 		faulty.WrongID, faulty.NoID, faulty.NoSeal, faulty.Trickle, faulty.Chunked, faulty.InvalidChunkSize, faulty.LengthAndChunks, faulty.NoLength, faulty.UntilClose,
-		faulty.TrailingBytes, faulty.DuplicateNow, faulty.DuplicateLate, faulty.CloseAnnounced, faulty.CloseUnannounced, faulty.Hang}
+		faulty.TrailingBytes, faulty.CloseAnnounced, faulty.CloseUnannounced, faulty.Hang}
 	s.markUnreliable()
 	chosen := []faulty.Fault{ways[choice%len(ways)], ways[choice/len(ways)%len(ways)], faulty.NoFault}
 	r.runScript(s, duration, func(c faulty.Call) faulty.Reply {
 		reply := defaultScript(c)
 		reply.Fault = chosen[rand.IntN(len(chosen))]
+		reply.SecondCopy = drawCopy()
 		return reply
 	})
 }
 
+// copyRatio is how many responses of a searcher that misbehaves there are for each one that is sent twice.
+const copyRatio = 3
+
+// drawCopy draws whether a second copy of a response is sent, and when.
+func drawCopy() faulty.SecondCopy {
+	if rand.IntN(copyRatio) > 0 {
+		return faulty.NoCopy
+	}
+	return []faulty.SecondCopy{faulty.CopyNow, faulty.CopyLate}[rand.IntN(2)]
+}
+
 // runScript makes a searcher follow a script for a while, then the default one.
 func (r *run) runScript(s *searcher, duration time.Duration, script func(faulty.Call) faulty.Reply) {
 	s.SetScript(script)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -56,15 +56,14 @@
 	r.schedule = Schedule{Shape: (&Options{}).shape(Shape{}), Faults: []Fault{{Kind: KillProcess}}}
 	r.load = &load{run: r}
 	r.operators = &operators{run: r}
-	server, err := faulty.Start(faulty.Options{ID: "i-1", Ledger: r.system.Ledger})
-	must.NoError(t, err)
-	t.Cleanup(server.Close)
-	standIn, err := localsystem.NewSearcher(localsystem.SearcherOptions{Service: r.schedule.Shape.singleService(), Control: []string{"127.0.0.1:1"}, Period: time.Hour, Server: faulty.Options{ID: "i-2", Ledger: r.system.Ledger}})
-	must.NoError(t, err)
-	t.Cleanup(standIn.Close)
-	s := &searcher{Searcher: standIn}
-	r.searchers = append(r.searchers, s)
-	return r, s
+	for i, service := range []string{r.schedule.Shape.singleService(), onceService} {
+		standIn, err := localsystem.NewSearcher(localsystem.SearcherOptions{Service: service, Control: []string{"127.0.0.1:1"}, Period: time.Hour,
+			Server: faulty.Options{ID: fmt.Sprint("i-", i), Ledger: r.system.Ledger}})
+		must.NoError(t, err)
+		t.Cleanup(standIn.Close)
+		r.searchers = append(r.searchers, &searcher{Searcher: standIn})
+	}
+	return r, r.searchers[0]
 }
 
 // arrive sends a request to a searcher.
@@ -108,14 +107,18 @@
 	for name, inject := range map[string]func(t *testing.T, r *run, s *searcher){
 		"ran twice": func(t *testing.T, r *run, s *searcher) {
 			r.load.requests = []*request{{attempts: []*attempt{{id: "single-1-0", kind: single, path: "/single/1"}}}}
-			arrive(t, s, post("single-1-0")...)
-			arrive(t, s, post("single-1-0")...)
+			arrive(t, r.searchers[1], post("single-1-0")...)
+			arrive(t, r.searchers[1], post("single-1-0")...)
 		},
 		"refused what ran": func(t *testing.T, r *run, s *searcher) {
 			r.load.requests = []*request{{attempts: []*attempt{{id: "single-1-0", kind: single, path: "/single/1", status: http.StatusServiceUnavailable}}}}
-			arrive(t, s, post("single-1-0")...)
+			arrive(t, r.searchers[1], post("single-1-0")...)
 		},
 		"unasked": func(t *testing.T, r *run, s *searcher) { arrive(t, s, post("nobody's")...) },
+		"unasked: single-1-0": func(t *testing.T, r *run, s *searcher) { // at a searcher of another service
+			r.load.requests = []*request{{attempts: []*attempt{{id: "single-1-0", kind: single, path: "/single/1"}}}}
+			arrive(t, s, post("single-1-0")...)
+		},
 		"over its retries": func(t *testing.T, r *run, s *searcher) {
 			r.load.requests = []*request{{attempts: []*attempt{{id: "get-1-0", kind: "get", path: "/get/1"}}}}
 			for range retries + 1 {
--- a/proxy/responses_test.go
+++ b/proxy/responses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -21,12 +22,16 @@
 
 // faults lists all ways in which a searcher's response can be faulty, except for a wrong 421, which makes the proxy drop the
 // searcher.
-var faults = map[string]faulty.Fault{"good": faulty.NoFault, "refuse": faulty.Refuse, "refuse without id": faulty.RefuseNoID,
-	"reset unrun": faulty.ResetBeforeRun, "reset": faulty.ResetAfterRun, "close": faulty.CloseAfterRun, "cut head": faulty.TruncateHead,
-	"cut body": faulty.TruncateBody, "spoil": faulty.Garbage, "wrong id": faulty.WrongID, "no id": faulty.NoID, "no seal": faulty.NoSeal,
-	"trickle": faulty.Trickle, "chunked": faulty.Chunked, "bad chunks": faulty.InvalidChunkSize, "both lengths": faulty.LengthAndChunks,
-	"no length": faulty.NoLength, "until close": faulty.UntilClose, "surplus": faulty.TrailingBytes, "extra now": faulty.DuplicateNow,
-	"extra late": faulty.DuplicateLate, "close after": faulty.CloseAnnounced, "close unsaid": faulty.CloseUnannounced}
+var faults = map[string]faulty.Reply{"good": {}, "refuse": {Fault: faulty.Refuse}, "refuse without id": {Fault: faulty.RefuseNoID},
+	"refuse, extra late":            {Fault: faulty.Refuse, SecondCopy: faulty.CopyLate},
+	"refuse without id, extra late": {Fault: faulty.RefuseNoID, SecondCopy: faulty.CopyLate},
+	"reset unrun":                   {Fault: faulty.ResetBeforeRun}, "reset": {Fault: faulty.ResetAfterRun}, "close": {Fault: faulty.CloseAfterRun},
+	"cut head": {Fault: faulty.TruncateHead}, "cut body": {Fault: faulty.TruncateBody}, "spoil": {Fault: faulty.Garbage},
+	"wrong id": {Fault: faulty.WrongID}, "no id": {Fault: faulty.NoID}, "no seal": {Fault: faulty.NoSeal}, "trickle": {Fault: faulty.Trickle},
+	"chunked": {Fault: faulty.Chunked}, "bad chunks": {Fault: faulty.InvalidChunkSize}, "both lengths": {Fault: faulty.LengthAndChunks},
+	"no length": {Fault: faulty.NoLength}, "until close": {Fault: faulty.UntilClose}, "surplus": {Fault: faulty.TrailingBytes},
+	"extra now": {SecondCopy: faulty.CopyNow}, "extra late": {SecondCopy: faulty.CopyLate}, "close after": {Fault: faulty.CloseAnnounced},
+	"close unsaid": {Fault: faulty.CloseUnannounced}}
 
 // usable lists those of them with a response that must reach the client.
 var usable = []string{"good", "trickle", "chunked", "surplus", "extra now", "extra late", "close after", "close unsaid"}
@@ -54,9 +59,7 @@
 	var routes []rig.Route
 	replies := map[string]faulty.Reply{"encoded": {Header: []string{"Content-Encoding: gzip"}}, "failure": {Status: 500},
 		"late": {Status: 504}}
-	for name, w := range faults {
-		replies[name] = faulty.Reply{Fault: w}
-	}
+	maps.Copy(replies, faults)
 	for name, reply := range replies {
 		path := strings.ReplaceAll(name, " ", "-")
 		for _, mode := range []string{"idempotent", "non_idempotent"} {
@@ -174,7 +177,7 @@
 func TestStorm(t *testing.T) {
 	t.Parallel()
 	r := rig.Start(t, brief)
-	all := []faulty.Fault{faulty.Hang}
+	all := []faulty.Reply{{Fault: faulty.Hang}}
 	for name, w := range faults {
 		if name != "no length" { // its body would never end
 			all = append(all, w)
@@ -187,11 +190,15 @@
 		servers = append(servers, r.Searcher(s, faulty.Options{Capacity: 2, Queue: 1, Script: func(faulty.Call) faulty.Reply {
 			mu.Lock()
 			defer mu.Unlock()
-			reply := faulty.Reply{Work: time.Duration(rng.IntN(10)) * time.Millisecond}
-			switch n := rng.IntN(12); {
-			case n < 4:
-				reply.Fault = all[rng.IntN(len(all))]
-			case n == 4:
+			reply := faulty.Reply{}
+			if rng.IntN(3) == 0 {
+				reply = all[rng.IntN(len(all))]
+			}
+			reply.Work = time.Duration(rng.IntN(10)) * time.Millisecond
+			switch n := rng.IntN(8); {
+			case n < 2: // of a refusal too, if the searcher is full
+				reply.SecondCopy = faulty.CopyLate
+			case n == 2:
 				reply.Status = []int{500, 504, 404, 302, 204}[rng.IntN(5)]
 				reply.Body = []byte{}
 			}
@@ -252,3 +259,45 @@
 	must.StrNotContains(t, response.Header.Get("Part-Seals"), ",")
 	r.Check()
 }
+
+// TestRefusalsWithLateCopies: searchers refuse at random and send late second copies of their responses. A request is sent again to
+// the only searcher of its service, where a copy of the first refusal may come in the place of the second response (review/1).
+func TestRefusalsWithLateCopies(t *testing.T) {
+	t.Parallel()
+	r := rig.Start(t, brief)
+	const services, requests = 16, 6
+	var routes []rig.Route
+	for i := range services {
+		rng := rand.New(rand.NewPCG(uint64(i), 3))
+		var mu sync.Mutex
+		service := fmt.Sprint("s", i)
+		r.Searcher(service, faulty.Options{ScriptProbes: true, Script: func(faulty.Call) faulty.Reply {
+			mu.Lock()
+			defer mu.Unlock()
+			reply := faulty.Reply{SecondCopy: faulty.SecondCopy(rng.IntN(3))}
+			if rng.IntN(2) == 0 {
+				reply.Fault = []faulty.Fault{faulty.Refuse, faulty.Refuse, faulty.RefuseNoID}[rng.IntN(3)]
+			}
+			return reply
+		}})
+		routes = append(routes, rig.Route{Name: service, Prefix: "/" + service + "/", Mode: "non_idempotent", Service: service, Retries: 4, HorizonMs: 4000, SetpointMs: 2000})
+	}
+	r.Put(routes...)
+	var clients sync.WaitGroup
+	for i := range services {
+		clients.Go(func() {
+			for range requests {
+				r.Do(rig.Request{Method: "POST", Path: fmt.Sprintf("/s%d/", i)})
+			}
+		})
+	}
+	clients.Wait()
+	again := 0
+	for _, entry := range r.Ledger.Entries() {
+		if r.Ledger.Arrived(entry.ID) > 1 {
+			again++
+		}
+	}
+	must.Greater(t, services, again, must.Sprint("requests that were sent again"))
+	r.Check()
+}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -35,6 +35,11 @@
 	sending := &outgoing{pool: p.pool(dispatch.Searcher)}
 	sending.exchange.Request = client.Request
 	sending.exchange.Target = dispatch.Searcher.ID
+	for _, earlier := range dispatch.Earlier() {
+		if sent, ok := earlier.Data.(*outgoing); ok {
+			sending.exchange.Earlier = append(sending.exchange.Earlier, &sent.exchange)
+		}
+	}
 	if dispatch.AddressTrusted {
 		sending.exchange.AddressConfirmedUntil = time.Now().Add(addressTrustTTL)
 	}
--- a/request/types.go
+++ b/request/types.go
@@ -110,6 +110,19 @@
 	member  *member
 }
 
+// Earlier returns the dispatches of the same part that were sent to the same searcher before.
+func (d *Dispatch) Earlier() (earlier []*Dispatch) {
+	if d.attempt == 0 {
+		return nil
+	}
+	for _, previous := range d.part.dispatches[:d.attempt] {
+		if previous.Searcher.ID == d.Searcher.ID {
+			earlier = append(earlier, previous)
+		}
+	}
+	return earlier
+}
+
 // part is the piece of a request that goes to one service.
 type part struct {
 	id         uint64
