--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -142,6 +142,34 @@
 	Faults []Fault
 }
 
+// longest returns how long a fault may be active, without waiting for another one.
+func (f Fault) longest() time.Duration {
+	switch f.Kind {
+	case FreezeMany, FreezeFronts: // in series
+		return maxSeries * (f.Duration + maxSeriesGap)
+	case SearcherQueue:
+		return queueLead + drainGrace + f.Duration
+	}
+	return f.Duration
+}
+
+// pausesProcesses reports whether a fault keeps other faults away from the processes that it pauses.
+func (f Fault) pausesProcesses() bool {
+	return f.Kind == Freeze || f.Kind == FreezeMachine || f.Kind == FreezeFronts
+}
+
+// latestEnd returns by when all faults are over, except for the time that processes and searchers take to end and to start.
+func (s Schedule) latestEnd() (latest time.Duration) {
+	pausedUntil := time.Duration(0) // if each pause of a process waits for the one before
+	for _, f := range s.Faults {
+		latest = max(latest, f.At+f.longest())
+		if f.pausesProcesses() {
+			pausedUntil = max(pausedUntil, f.At) + f.longest()
+		}
+	}
+	return max(latest, pausedUntil)
+}
+
 // planned reports whether the schedule holds planned maintenance only, in which case no request may fail.
 func (s Schedule) planned() bool {
 	return !slices.ContainsFunc(s.Faults, func(f Fault) bool { return !slices.Contains(PlannedKinds, f.Kind) })
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -40,6 +40,19 @@
 	must.False(t, DrawSchedule(1, time.Minute, nil, 0).planned())
 }
 
+// TestScheduleBoundsItsEnd guards against a bound that a schedule can outlast: pauses in series, and pauses that wait for one another
+// (seeds 7306 and 8101 of --for 60s --at-once 6 had some that ended 44 s after the schedule).
+func TestScheduleBoundsItsEnd(t *testing.T) {
+	series := Fault{At: time.Minute, Duration: maxLongFault, Kind: FreezeFronts}
+	must.GreaterEq(t, time.Minute+maxSeries*maxLongFault, Schedule{Faults: []Fault{series}}.latestEnd())
+	must.GreaterEq(t, time.Minute+2*maxSeries*maxLongFault, Schedule{Faults: []Fault{series, series}}.latestEnd())
+	for seed := range uint64(40) {
+		s := DrawSchedule(seed, time.Minute, nil, 6)
+		last := s.Faults[len(s.Faults)-1]
+		must.GreaterEq(t, last.At+last.Duration, s.latestEnd())
+	}
+}
+
 func TestParseKinds(t *testing.T) {
 	kinds, err := ParseKinds("kill, cut,planned")
 	must.NoError(t, err)
