Distribution: a server without controllers has no update of their list

Cause: an agent that starts while no controller can be reached holds no list of controllers; its proxy does.

Change: a replica that holds no list has no update for a client that does.

Evidence: TestServerWithoutControllersAnswersNothing fails without the change and passes now.

--- a/distribution/await_test.go
+++ b/distribution/await_test.go
@@ -34,3 +34,18 @@
 		must.LessEq(t, maxWait+coalesceDelay, time.Since(start))
 	})
 }
+
+// TestServerWithoutControllersAnswersNothing guards against a server that knows no controllers and answers, at once and each time, a
+// client that does: an agent that had just started and its proxy exchanged empty responses without a pause.
+func TestServerWithoutControllersAnswersNothing(t *testing.T) {
+	for _, isolated := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			replica := NewReplica(registry.New(registry.Config{Name: "a", Period: time.Second, Start: time.Now()}))
+			replica.SetIsolated(isolated)
+			request := PullRequest{Core: hashLocations([]Location{{Addr: "10.0.0.1:7080"}}), Alone: isolated}
+			start := time.Now()
+			(&Server{Replica: replica}).longPoll(t.Context(), &request)
+			must.GreaterEq(t, maxWait, time.Since(start))
+		})
+	}
+}
--- a/distribution/replica.go
+++ b/distribution/replica.go
@@ -241,7 +241,7 @@
 		resp.Alone, resp.Mixers, resp.SlackSpent = r.isolated, r.mixerCount, r.slackSpent
 		// A replica that doesn't count mixers has no update of their number.
 		hasUpdates = hasUpdates || r.isolated != req.Alone || r.slackSpent != req.SlackSpent || r.mixerCount > 0 && r.mixerCount != req.Mixers
-		if req.Core != r.controllersHash {
+		if r.hasControllersForLocked(req) {
 			resp.Core, hasUpdates = r.controllers, true
 		}
 	}
@@ -276,7 +276,7 @@
 func (r *Replica) isolatedResponseLocked(req *PullRequest) (PullResponse, bool, <-chan struct{}) {
 	resp := PullResponse{System: r.system, Alone: true, News: registry.Delta{By: r.registry.Name()}}
 	hasUpdates := !req.Alone
-	if req.Core != r.controllersHash {
+	if r.hasControllersForLocked(req) {
 		resp.Core, hasUpdates = r.controllers, true
 	}
 	if req.Alone && time.Since(r.isolatedSince) > isolatedUpdatesDelay {
@@ -287,6 +287,12 @@
 	return resp, hasUpdates, r.changed
 }
 
+// hasControllersForLocked reports whether the client holds another list of controllers. A replica that holds none has no update for
+// it. The caller holds r.mu.
+func (r *Replica) hasControllersForLocked(req *PullRequest) bool {
+	return len(r.controllers) > 0 && req.Core != r.controllersHash
+}
+
 // merge applies a response. It returns an error if the configuration or patch in it can't be used, so that the client requests
 // the whole configuration; all other updates are applied nevertheless.
 func (r *Replica) merge(resp *PullResponse, peer bool, now time.Time) error {
