Member: no goroutine is started while the group leaves

Change: Leave marks the group as leaving under its lock; a peer that joins later is not added.

Evidence: TestPeerThatJoinsWhileTheGroupLeaves fails without the change and passes now. The race itself was not brought about again before this commit; repetitions beside load follow.

--- a/internal/member/group.go
+++ b/internal/member/group.go
@@ -51,6 +51,7 @@
 	mu         sync.Mutex
 	peers      map[string]*peer
 	closed     chan struct{}
+	leaving    bool // no further goroutines are started
 	goroutines sync.WaitGroup
 	counts     counts
 }
@@ -252,12 +253,20 @@
 		time.Sleep(time.Millisecond) // no event signals that all queues are empty, and only a leaving process waits
 	}
 	err := g.list.Leave(g.limits.LeaveTimeout / 2)
-	close(g.closed)
+	g.stopServing()
 	err = errors.Join(err, g.list.Shutdown())
 	g.goroutines.Wait()
 	return err
 }
 
+// stopServing ends the goroutines. The library may still report a change, which must start none while Leave waits for their end.
+func (g *Group) stopServing() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	close(g.closed)
+}
+
 // hasQueued reports whether any message is queued.
 func (g *Group) hasQueued() bool {
 	g.mu.Lock()
@@ -301,6 +310,7 @@
 			close(p.removed)
 			delete(g.peers, n.Name)
 		}
+	case g.leaving && p == nil: // nothing would be sent to it any more
 	default:
 		if p == nil {
 			p = &peer{wake: make(chan struct{}, 1), removed: make(chan struct{})}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 )
@@ -246,6 +249,17 @@
 	}
 }
 
+// TestPeerThatJoinsWhileTheGroupLeaves guards against starting a goroutine for a peer while Leave waits for the end of all of them:
+// a data race, and a goroutine that outlives the group.
+func TestPeerThatJoinsWhileTheGroupLeaves(t *testing.T) {
+	keys := keyFile(t, key(1))
+	g, events, _ := join(t, "a", 1, freeAddress(t), keys)
+	must.NoError(t, g.Leave())
+	g.change(&memberlist.Node{Name: "b", Meta: binary.LittleEndian.AppendUint64(nil, 2)}, true)
+	must.MapEmpty(t, g.peers)
+	must.MapEmpty(t, <-events.views)
+}
+
 func FuzzKeys(f *testing.F) {
 	f.Add([]byte(key(0) + "\n#x\n" + key(1)))
 	f.Fuzz(func(t *testing.T, b []byte) {
