Proxy: each answer has a write deadline

Cause: net/http removes the write deadline after each request; timeoutConn set it again at most once a second. The answer to a request that followed another one within a second had none, and a client that read nothing could hold its connection and goroutine for good.

Change: the removal is noticed, so that the next write sets the deadline again.

Evidence: TestClientThatReadsNoSecondAnswerIsLeft fails without the change and passes now.

--- a/proxy/timeouts.go
+++ b/proxy/timeouts.go
@@ -74,6 +74,12 @@
 	return c.Conn.Write(b)
 }
 
+// SetWriteDeadline is called by net/http, which removes the deadline after each request.
+func (c *timeoutConn) SetWriteDeadline(t time.Time) error {
+	c.writeDeadlineSetAt = time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Close closes the connection.
 func (c *timeoutConn) Close() error {
 	c.closed.Store(true)
--- a/proxy/timeouts_test.go
+++ b/proxy/timeouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -73,3 +74,29 @@
 		ln.CheckStalledReader(t, size, idle)
 	})
 }
+
+// TestClientThatReadsNoSecondAnswerIsLeft: the same holds for an answer that comes soon after another one on the same connection.
+// net/http removes the write deadline after each request, and an earlier version did not set it again within a second.
+func TestClientThatReadsNoSecondAnswerIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const idle, size = 10 * time.Second, 100 << 10
+		ln := make(pipes.Listener)
+		s := &http.Server{ReadHeaderTimeout: headerTimeoutPlaceholder, IdleTimeout: idleTimeoutPlaceholder,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/large" {
+					w.Write(make([]byte, size))
+				}
+			})}
+		go s.Serve(timeoutListener{ln, func() (time.Duration, time.Duration) { return time.Second, idle }})
+		defer s.Close()
+		c := ln.Dial()
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must.NoError(t, err)
+		io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(idle + time.Second)
+		n, err := io.Copy(io.Discard, c)
+		must.NoError(t, err)
+		must.Less(t, size, n)
+	})
+}
