Soak: no data race in its own clients

Change: the front is atomic. Evidence: read off the code; not brought about again before this commit.

--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -180,7 +180,7 @@
 		defer leave()
 	}
 	res, err := client.http.Do(req.WithContext(ctx))
-	a.front = client.front
+	a.front = int(client.front.Load())
 	defer func() { a.took = time.Since(a.sent) }()
 	if err != nil {
 		a.failure = err.Error()
--- a/lab/soak/sessions.go
+++ b/lab/soak/sessions.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"peathollow/internal/keepalive"
 )
@@ -13,7 +14,7 @@
 // session is a client with one connection. The platform chooses the front when the connection is opened; the client keeps it
 // until the connection ends, whether or not the front stays ready.
 type session struct {
-	front int // of the last connection
+	front atomic.Int64 // of the last connection; net/http may still be dialing when a request has ended
 	http  *http.Client
 }
 
@@ -50,8 +51,9 @@
 	s := &session{}
 	dial := keepalive.TCP{Relay: p.load.run.relayAddress, From: clients}
 	s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		s.front = p.load.pickFront()
-		return dial.Dial(ctx, p.load.run.system.Fronts[s.front], connectTimeout, clientTimeout)
+		front := p.load.pickFront()
+		s.front.Store(int64(front))
+		return dial.Dial(ctx, p.load.run.system.Fronts[front], connectTimeout, clientTimeout)
 	}}}
 	return s
 }
