--- a/proxy/invariants_test.go
+++ b/proxy/invariants_test.go
@@ -42,6 +42,16 @@
 	must.Eq(t, invariant.VersionMonotonic, violation(t, q.onMerge))
 }
 
+// TestRequestsLeftAtTheEnd: the proxy detects that it ends with a request in flight.
+func TestRequestsLeftAtTheEnd(t *testing.T) {
+	q := New(&settings.Settings{RetryWindow: time.Second, BeatPeriod: time.Second}, "proxy/front-0/0", &log.Logger{Level: log.PanicLevel})
+	q.checkAnswered()
+	q.coordinator.SetSearchers([]request.Searcher{{ID: "i-1", Address: "127.0.0.1:1", Service: "s", State: policy.Ready}})
+	q.coordinator.Begin(&request.Request{Route: &manifest.Route{Plant: "s", Horizon: time.Second, Setpoint: time.Second, Retries: 1},
+		Deadline: time.Second, Done: func(request.Final) {}})
+	must.Eq(t, invariant.AnsweredBeforeExit, violation(t, q.checkAnswered))
+}
+
 // TestDeadlinesPastTheClients: the proxy detects a dispatch that would end after its client's deadline.
 func TestDeadlinesPastTheClients(t *testing.T) {
 	q := New(&settings.Settings{RetryWindow: time.Second, BeatPeriod: time.Second}, "proxy/front-0/0", &log.Logger{Level: log.PanicLevel})
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -25,10 +25,16 @@
 		// A new call: the longer Shutdown waits, the less often it looks whether all connections are idle.
 		shutDownWithin(frontServer, max(minFlushTime, time.Until(began.Add(p.settings.ProxyExitTime()))))
 	}
-	unanswered := p.inFlight()
-	invariant.Check(invariant.AnsweredBeforeExit, unanswered == 0, "%d requests in flight", unanswered)
+	p.checkAnswered()
 	p.logCounters()
-	p.log.Info().Str("event", "left").Int("in-hand", unanswered).Msg("")
+	p.log.Info().Str("event", "left").Int("in-hand", p.inFlight()).Msg("")
+}
+
+// checkAnswered verifies that each request has got its final answer.
+func (p *Proxy) checkAnswered() {
+	if unanswered := p.inFlight(); unanswered > 0 {
+		invariant.Violated(invariant.AnsweredBeforeExit, "%d requests in flight", unanswered)
+	}
 }
 
 // shutDownWithin reports whether all connections of the server became idle, and were closed, within the given time.
--- a/request/invariants_test.go
+++ b/request/invariants_test.go
@@ -35,6 +35,10 @@
 			p.dispatches, m.State = nil, policy.Draining
 			c.checkDispatch(p, m)
 		},
+		invariant.DispatchWithinService: func(c *Coordinator, p *part, m *member) {
+			p.dispatches, m.Service = nil, "another"
+			c.checkDispatch(p, m)
+		},
 		invariant.InFlightBalance: func(c *Coordinator, _ *part, _ *member) {
 			c.Counts.Taken++
 			c.CheckBalance()
