--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -19,6 +19,13 @@
 	deadlineMs = "Deadline-Ms"
 )
 
+// rejection is the reason why a request is answered without being passed to the coordinator.
+type rejection struct {
+	status int
+	reason string
+	close  bool // what follows on the connection can't be read as a request
+}
+
 // ServeHTTP handles one client request and writes its answer.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -38,53 +45,81 @@
 		writeRefusal(w, 500*time.Millisecond)
 		return
 	}
-	if headerSize(r) > max(config.Limits.HeaderBytes, 16<<10) {
-		h.Set("Connection", "close")
-		p.recordRejected(r, http.StatusRequestHeaderFieldsTooLarge, "its head is too large")
-		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+	route, rejected := routeFor(config, r)
+	if rejected != nil {
+		p.reject(w, r, rejected)
+		return
+	}
+	remaining := timeLeft(route, r)
+	client := &clientRequest{deadline: arrived.Add(remaining)}
+	body, status := readBody(w, r, config, client.deadline)
+	if status != 0 {
+		p.reject(w, r, &rejection{status, "its body was cut off, malformed, too large or too late", true})
 		return
 	}
+	client.Request = upstreamRequest(r, body)
+	final, ok := p.awaitAnswer(r, route, client)
+	if !ok {
+		p.observability.clientLeft()
+		panic(http.ErrAbortHandler) // closes the connection without an answer and without reading the next request
+	}
+	p.recordFailure(&failure{attempt: client.AttemptID, route: route.Name, version: config.Version, elapsed: time.Since(arrived),
+		remaining: remaining}, final)
+	writeAnswer(w, final)
+}
+
+// reject answers a request that is not passed to the coordinator.
+func (p *Proxy) reject(w http.ResponseWriter, r *http.Request, rejected *rejection) {
+	if rejected.close {
+		w.Header().Set("Connection", "close")
+	}
+	p.recordRejected(r, rejected.status, rejected.reason)
+	w.WriteHeader(rejected.status)
+}
+
+// minHeaderLimit is the limit for the size of a header that is enforced at least, in bytes.
+const minHeaderLimit = 16 << 10
+
+// routeFor returns the route of a request, or why it is rejected.
+func routeFor(config *manifest.Manifest, r *http.Request) (*manifest.Route, *rejection) {
+	if headerSize(r) > max(config.Limits.HeaderBytes, minHeaderLimit) {
+		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, "its head is too large", true}
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := config.Route(r.Host, path)
 	if route == nil || path == "" || path[0] != '/' {
-		p.recordRejected(r, http.StatusNotFound, "no route for its host and path")
-		w.WriteHeader(http.StatusNotFound)
-		return
+		return nil, &rejection{http.StatusNotFound, "no route for its host and path", false}
 	}
-	id := r.Header.Get(attemptID)
-	if id == "" {
-		p.recordRejected(r, http.StatusBadRequest, "it has no Attempt-Id")
-		w.WriteHeader(http.StatusBadRequest)
-		return
+	if r.Header.Get(attemptID) == "" {
+		return nil, &rejection{http.StatusBadRequest, "it has no Attempt-Id", false}
 	}
-	remaining := route.Horizon
-	if ms, err := strconv.ParseFloat(r.Header.Get(deadlineMs), 64); err == nil && ms >= 0 {
-		remaining = min(remaining, time.Duration(min(ms, 1e9)*float64(time.Millisecond)))
-	}
-	client := &clientRequest{deadline: arrived.Add(remaining)}
-	body, status := readBody(w, r, config, client.deadline)
-	if status != 0 {
-		h.Set("Connection", "close")
-		p.recordRejected(r, status, "its body was cut off, malformed, too large or too late")
-		w.WriteHeader(status)
-		return
+	return route, nil
+}
+
+// maxDeadlineMs bounds the deadline that a client states, in milliseconds.
+const maxDeadlineMs = 1e9
+
+// timeLeft returns how long a request may take: the client's deadline, and the route's horizon at most.
+func timeLeft(route *manifest.Route, r *http.Request) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get(deadlineMs), 64)
+	if err != nil || !(ms >= 0) {
+		return route.Horizon
 	}
-	client.Request = upstream.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, AttemptID: id, Body: body}
+	return min(route.Horizon, time.Duration(min(ms, maxDeadlineMs)*float64(time.Millisecond)))
+}
+
+// upstreamRequest returns the request that is passed on to searchers.
+func upstreamRequest(r *http.Request, body []byte) upstream.Request {
+	outbound := upstream.Request{Method: r.Method, Path: r.RequestURI, Host: r.Host, AttemptID: r.Header.Get(attemptID), Body: body}
 	for name, values := range r.Header {
 		if name == attemptID || name == deadlineMs || isHopByHop(r.Header["Connection"], name) {
 			continue
 		}
 		for _, value := range values {
-			client.Headers = append(client.Headers, upstream.Header{Name: name, Value: value})
+			outbound.Headers = append(outbound.Headers, upstream.Header{Name: name, Value: value})
 		}
 	}
-	final, ok := p.awaitAnswer(r, route, client)
-	if !ok {
-		p.observability.clientLeft()
-		panic(http.ErrAbortHandler) // closes the connection without an answer and without reading the next request
-	}
-	p.recordFailure(&failure{attempt: id, route: route.Name, version: config.Version, elapsed: time.Since(arrived), remaining: remaining}, final)
-	writeAnswer(w, final)
+	return outbound
 }
 
 // isHopByHop reports whether the client's Connection header lists a field, which then applies to this connection only.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -80,6 +80,9 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(s.PortFirst+2))
 }
 
+// countersInterval is the interval between log lines with the counters.
+const countersInterval = 10 * time.Second
+
 // Run serves until ctx ends, then finishes the requests in flight within the grace period.
 func (p *Proxy) Run(ctx context.Context) error {
 	front, err := net.Listen("tcp", p.settings.Front)
@@ -92,21 +95,13 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	puller := distribution.Puller{Replica: p.replica, Node: p.settings.Node, Incarnation: p.incarnation, Kind: "proxy", OnMerge: p.onMerge,
-		Choose: func(int) string { return AgentAddress(p.settings) }, Network: keepalive.TCP{Relay: p.settings.Relay, From: p.settings.Node}}
-	go puller.Run(background)
-	go p.advancePeriodically(background)
-	go exporter.ServeIfConfigured(background, p.log, p.settings.IP, p.settings.Metrics, p.emitMetrics)
-	readinessServer := &http.Server{Handler: http.HandlerFunc(p.serveReady),
-		ReadTimeout: 2 * time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
-	go readinessServer.Serve(readiness)
-	frontServer := &http.Server{Handler: p, ReadHeaderTimeout: headerTimeoutPlaceholder, IdleTimeout: idleTimeoutPlaceholder,
-		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnContext: withConnection}
+	p.startBackground(background)
+	go newReadinessServer(http.HandlerFunc(p.serveReady)).Serve(readiness)
+	frontServer := p.newFrontServer()
 	ended := make(chan error, 1)
-	p.clientConns.Bind(frontServer)
 	go func() { ended <- frontServer.Serve(timeoutListener{p.clientConns.Listen(front), p.timeouts}) }()
 	p.log.Info().Str("event", "serving").Str("front", p.settings.Front).Msg("")
-	ticker := time.NewTicker(10 * time.Second)
+	ticker := time.NewTicker(countersInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -121,6 +116,29 @@
 	}
 }
 
+// startBackground starts what runs beside the servers until ctx ends: the pull from the agent, the clock and the metrics.
+func (p *Proxy) startBackground(ctx context.Context) {
+	puller := distribution.Puller{Replica: p.replica, Node: p.settings.Node, Incarnation: p.incarnation, Kind: "proxy", OnMerge: p.onMerge,
+		Choose: func(int) string { return AgentAddress(p.settings) }, Network: keepalive.TCP{Relay: p.settings.Relay, From: p.settings.Node}}
+	go puller.Run(ctx)
+	go p.advancePeriodically(ctx)
+	go exporter.ServeIfConfigured(ctx, p.log, p.settings.IP, p.settings.Metrics, p.emitMetrics)
+}
+
+// newFrontServer returns the server for clients' requests.
+func (p *Proxy) newFrontServer() *http.Server {
+	server := &http.Server{Handler: p, ReadHeaderTimeout: headerTimeoutPlaceholder, IdleTimeout: idleTimeoutPlaceholder,
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnContext: withConnection}
+	p.clientConns.Bind(server)
+	return server
+}
+
+// newReadinessServer returns the server at which the platform asks whether the proxy gets new connections.
+func newReadinessServer(handler http.Handler) *http.Server {
+	const timeout, idleTimeout = 2 * time.Second, 10 * time.Second
+	return &http.Server{Handler: handler, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: idleTimeout}
+}
+
 func (p *Proxy) inFlight() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
