--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -40,8 +40,7 @@
 	return strings.Join(shards[:min(maxJoinedNames, len(shards))], ",")
 }
 
-// onceService is the service of the non-idempotent route. It has no other requests, so that a request that it has refused is often
-// the next one on its connection, too.
+// onceService is the service of the non-idempotent route. It gets no other requests.
 const onceService = "once/é 100%"
 
 // serviceOf returns the service for requests of a kind that are not fanned out.
