--- a/lab/soak/reports.go
+++ b/lab/soak/reports.go
@@ -58,7 +58,7 @@
 	defer buffered.Flush()
 	for i := range entries {
 		e := &entries[i]
-		fmt.Fprintf(buffered, "%8.3f s %s %s %s at %s of %s, ran: %v, dropped: %v\n", e.At.Sub(r.started).Seconds(), e.ID, e.Method, e.Path, e.Searcher,
+		fmt.Fprintf(buffered, "%8.3f s %s %s %s at %s of %q, ran: %v, dropped: %v\n", e.At.Sub(r.started).Seconds(), e.ID, e.Method, e.Path, e.Searcher,
 			services[e.Searcher], e.Ran, e.Dropped)
 	}
 }
