Attempt: a part that must not run twice is sent again on another connection

In the program before the system a refused part is sent again on the same connection, and a late second copy of the refusal is taken for the answer to the second dispatch, which may have run.

Cause: an answer names the part by its id, which all of its dispatches share, and the connection was chosen by its room alone.

Change: a keyed or nonreplayable part takes no connection that has carried it (mayMisattribute); that connection retires, as with an earlier request's id. The state encoding has the connections of such a part's earlier attempts. A replayable part is left as it was.

Tests of attempt, its explorer, mixer, link and cmd pass. Not run: the regression programs, which are built for another processor.

--- a/attempt/explore/explore_test.go
+++ b/attempt/explore/explore_test.go
@@ -67,10 +67,12 @@
 }
 
 // Guards against taking a second copy of a refusal for the answer to the next dispatch of the same part on the same connection,
-// which may have run. The front of the system had the same fault (docs/incidents/late-copies.md).
+// which may have run. The front of the system had the same fault (docs/incidents/late-copies.md). A replayable part may take it.
 func TestRefusalThatArrivesTwice(t *testing.T) {
-	searchAll(t, Setup{Searchers: 1, Parts: 1, MaxAttempts: 3, Effect: "nonreplayable", Steps: 1, MaxInFlight: 1, Policy: "free",
-		Faults: []string{"refuse", "twice"}, MaxFaults: 2}, fullReduction)
+	for _, effect := range []string{"keyed", "nonreplayable"} {
+		searchAll(t, Setup{Searchers: 1, Parts: 1, MaxAttempts: 3, Effect: effect, Steps: 1, MaxInFlight: 1, Policy: "free",
+			Faults: []string{"refuse", "twice"}, MaxFaults: 2}, fullReduction)
+	}
 }
 
 // Guards against reductions that skip relevant states: the search without symmetry reduction must visit the same canonical
--- a/attempt/searchers.go
+++ b/attempt/searchers.go
@@ -96,6 +96,13 @@
 	return slices.ContainsFunc(h.recent, func(past pastPart) bool { return past.answerDue })
 }
 
+// answerDueToOther reports whether an answer under the id of the part is still expected for another scan.
+func (h *answerHistory) answerDueToOther(p *part) bool {
+	return slices.ContainsFunc(h.recent, func(past pastPart) bool {
+		return past.answerDue && past.wireID == p.wireID && past.scanID != p.scan.id
+	})
+}
+
 // attemptReturned removes an attempt that is no longer in flight. answerDue: its answer may still arrive.
 func (conn *Connection) attemptReturned(p *part, index int, answerDue bool, now time.Duration) {
 	if n, ok := conn.inFlight[p]; ok && n == index {
@@ -118,15 +125,19 @@
 	return nil, 0, false
 }
 
-// mayMisattribute reports whether an answer still expected on the connection, to an earlier request with the same id,
-// could be taken for the answer to this part.
+// mayMisattribute reports whether an answer that may still come on the connection could be taken for the answer to this part:
+// one that is expected for an earlier request with the same id, or a second copy of the answer to an earlier attempt at this
+// part. The latter does no harm where a part may run any number of times.
 func (conn *Connection) mayMisattribute(p *part) bool {
 	if q, _, ok := conn.findByWireID(p.wireID); ok && q.scan != p.scan {
 		return true
 	}
-	return slices.ContainsFunc(conn.history.recent, func(past pastPart) bool {
-		return past.answerDue && past.wireID == p.wireID && past.scanID != p.scan.id
-	})
+	return conn.history.answerDueToOther(p) || !conn.coordinator.repeatable(p) && conn.carriedBefore(p)
+}
+
+// carriedBefore reports whether an earlier attempt at the part was sent on the connection.
+func (conn *Connection) carriedBefore(p *part) bool {
+	return slices.ContainsFunc(p.attempts, func(a attempt) bool { return a.conn == conn })
 }
 
 // retire stops a connection from accepting new attempts and closes it once it is empty.
--- a/attempt/send.go
+++ b/attempt/send.go
@@ -166,6 +166,11 @@
 
 var errKeyWindow = errors.New("a keyed part would be sent outside its repeat window")
 
+// repeatable reports whether the part may run any number of times.
+func (c *Coordinator) repeatable(p *part) bool {
+	return c.settings.Policy.Types[p.scan.class].Effect == policy.Idempotent
+}
+
 // exclusive reports whether the part may be sent again, but only while none of its attempts is in flight.
 func (c *Coordinator) exclusive(p *part) bool { return !p.ended && !c.settings.Policy.MayHedge }
 
--- a/attempt/state.go
+++ b/attempt/state.go
@@ -210,6 +210,10 @@
 		if e.coordinator.settings.Policy.Types[p.scan.class].Effect == policy.IdempotentByKey {
 			e.time(a.startedAt)
 		}
+		if !e.coordinator.repeatable(p) { // its connection carries the part no more
+			e.byte(byte(slices.Index(e.labels.Searchers, a.searcher.host.Name)))
+			e.byte(byte(slices.Index(a.searcher.connections, a.conn)))
+		}
 		return // nothing else of an attempt that returned is used any more
 	}
 	e.byte(byte(a.outcome))
