Proxy: crashed searchers leave the list

Cause: the proxy called registry.Tick nowhere.

Change: it does, with each response of the agent that was merged, and so never while it hears nothing. KeepUnheard keeps the silent entries of a service of which no searcher is heard: a proxy whose controllers hear nobody for long still has what it routes by.

--- a/proxy/pools_test.go
+++ b/proxy/pools_test.go
@@ -12,6 +12,7 @@
 	"peathollow/internal/upstream"
 	"peathollow/manifest"
 	"peathollow/policy"
+	"peathollow/registry"
 	"peathollow/request"
 )
 
@@ -76,3 +77,20 @@
 		<-responses
 	}
 }
+
+// Guards against a crashed searcher that stays in the proxy's list until the proxy ends, and costs a dispatch again and again.
+func TestCrashedSearcherLeavesTheList(t *testing.T) {
+	t.Parallel()
+	q := New(&settings.Settings{RetryWindow: time.Hour, BeatPeriod: time.Microsecond}, "proxy/front-0/0",
+		&log.Logger{Level: log.PanicLevel})
+	q.replica.WithRegistry(func(r *registry.Registry) bool {
+		return r.Merge(time.Now(), registry.Delta{For: r.Name(), By: "agent", Next: 2, Upto: registry.Vector{"controller": 2}, Entries: []registry.Entry{
+			{Searcher: registry.Searcher{ID: "alive", Plant: "s", Address: "127.0.0.1:1", Calls: 1}, Source: "controller", No: 1},
+			{Searcher: registry.Searcher{ID: "crashed", Plant: "s", Address: "127.0.0.1:2", Calls: 1}, Source: "controller", No: 2,
+				Silent: true, Age: 2 * time.Minute},
+		}})
+	})
+	q.onMerge()
+	must.Len(t, 1, q.searchers)
+	must.Eq(t, "alive", q.searchers[0].ID)
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,7 +62,8 @@
 	now := time.Now()
 	p := &Proxy{settings: s, incarnation: incarnation, log: l, start: now, pools: map[string]*upstream.Pool{},
 		observability: newObservability(), clientConns: connlimit.New(s.MaxClientConns()),
-		replica: distribution.NewReplica(registry.New(registry.Config{Name: incarnation, Relay: true, Period: s.BeatPeriod, Start: now}))}
+		replica: distribution.NewReplica(registry.New(registry.Config{Name: incarnation, Relay: true, KeepUnheard: true,
+			Period: s.BeatPeriod, Start: now}))}
 	p.coordinator = p.newCoordinator(nil)
 	p.timer = time.AfterFunc(time.Hour, p.onTimer)
 	p.timer.Stop()
@@ -177,6 +178,7 @@
 	var entries []registry.Entry
 	complete := false
 	p.replica.WithRegistry(func(r *registry.Registry) bool {
+		r.Tick(time.Now()) // removes searchers that were not heard for long
 		generation, complete = r.Generation(), r.Complete()
 		if generation != p.generation {
 			for e := range r.All() {
--- a/registry/heartbeat.go
+++ b/registry/heartbeat.go
@@ -152,7 +152,7 @@
 	for _, rec := range r.records {
 		switch {
 		case rec.State == Gone && r.now.Sub(rec.publishedAt) >= r.cfg.TombstoneTTL,
-			rec.Silent && r.now.Sub(rec.publishedAt) >= r.cfg.SilentTTL:
+			rec.Silent && r.now.Sub(rec.publishedAt) >= r.cfg.SilentTTL && !r.keepsUnheard(rec.Plant):
 			expired = append(expired, rec)
 		case rec.State != Gone && !rec.Silent && r.shouldMarkSilent(rec):
 			unresponsive = append(unresponsive, rec)
@@ -178,6 +178,19 @@
 	return r.generation != generation
 }
 
+// keepsUnheard reports whether the silent entries of a service are kept, since no searcher of it is heard.
+func (r *Registry) keepsUnheard(service string) bool {
+	if !r.cfg.KeepUnheard {
+		return false
+	}
+	for _, rec := range r.services[service] {
+		if !rec.Silent {
+			return false
+		}
+	}
+	return true
+}
+
 // shouldMarkSilent reports whether this registry has to mark the searcher as Silent. Once another
 // source has received its heartbeat, that source monitors it.
 func (r *Registry) shouldMarkSilent(rec *record) bool {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -12,9 +12,12 @@
 	// from the beginning.
 	Name string
 	// Relay marks a registry that passes updates on and is not a source of any.
-	Relay  bool
-	Period time.Duration // between two heartbeats of a searcher
-	Start  time.Time
+	Relay bool
+	// KeepUnheard keeps the silent entries of a service for good while no searcher of it is heard: the one who routes by
+	// them has nothing better.
+	KeepUnheard bool
+	Period      time.Duration // between two heartbeats of a searcher
+	Start       time.Time
 
 	SilenceTimeout time.Duration // without a heartbeat for this long a searcher becomes Silent (2.5 periods)
 	SilentTTL      time.Duration // Silent for this long, an entry is removed (60 s)
