--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -110,6 +110,7 @@
 	wg.Go(func() { r.load.send(loadCtx, r.options.Rate) })
 	wg.Go(func() { r.operators.changePeriodically(loadCtx) })
 	wg.Go(func() { r.operators.readPeriodically(loadCtx) })
+	wg.Go(func() { r.watchStalls(loadCtx) })
 	for i := range r.fronts {
 		wg.Go(func() { r.watchReadiness(loadCtx, i) })
 		wg.Go(func() { r.probeRoutes(loadCtx, i) })
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -337,3 +337,16 @@
 	must.Eq(t, "it was refused", (&operators{changes: []*configChange{refused}}).compare(3, []byte("b")))
 	must.Eq(t, "it was never sent", o.compare(4, []byte("a")))
 }
+
+// Guards against a stall that is not counted, or counted though the function was run in time.
+func TestStallDetector(t *testing.T) {
+	var d stallDetector
+	now := time.Now()
+	for _, gap := range []time.Duration{0, stallInterval, stallInterval + minStall, stallInterval, stallInterval + 3*minStall, stallInterval + minStall - 1} {
+		now = now.Add(gap)
+		d.ran(now)
+	}
+	must.Eq(t, 2, d.count)
+	must.Eq(t, 4*minStall, d.total)
+	must.Eq(t, 3*minStall, d.longest)
+}
