--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -28,6 +28,7 @@
 
 	longWork      = 900 * time.Millisecond // for some requests, so that restarts, reloads and disconnecting clients meet work in progress
 	longSlotRatio = 4                      // long requests keep one in this many slots of a searcher busy
+	minLongEvery  = 8                      // one in this many requests is long at most, since they take longer than the setpoint
 	leaveRatio    = 3                      // one in this many of their clients disconnects
 	maxLeaveDelay = 400 * time.Millisecond // the longest time until it does
 	longPathMark  = "long-"                // part of the path
@@ -82,7 +83,7 @@
 func newLoad(r *run) *load {
 	// A third of the requests goes to each of the services that are no shards.
 	slots := r.schedule.Shape.Copies * capacity
-	l := &load{run: r, longEvery: 1 + int(float64(r.options.Rate)/3*longWork.Seconds())*longSlotRatio/slots}
+	l := &load{run: r, longEvery: max(minLongEvery, 1+int(float64(r.options.Rate)/3*longWork.Seconds())*longSlotRatio/slots)}
 	l.sessions = &sessionPool{load: l}
 	return l
 }
