Soak: late copies that were not sent by the end of a fault are dropped

Cause: the soak's own.

Change: the end of a script drops the copies that were not sent. During the fault nothing changes.

--- a/internal/standin/faulty/faulty_test.go
+++ b/internal/standin/faulty/faulty_test.go
@@ -52,3 +52,26 @@
 	}
 	must.SliceEmpty(t, server.Ledger().RanTwice(nil))
 }
+
+// TestDroppedCopiesAreNotSent guards against a late copy that is sent when the searcher has long been well again: the soak
+// then took the wrong answer in its calm for a violation.
+func TestDroppedCopiesAreNotSent(t *testing.T) {
+	copies := func(faulty.Call) faulty.Reply { return faulty.Reply{SecondCopy: faulty.CopyLate} }
+	for _, dropped := range []bool{false, true} {
+		server, err := faulty.Start(faulty.Options{Script: copies})
+		must.NoError(t, err)
+		defer server.Close()
+		pool := upstream.NewPool(server.Addr(), upstream.Options{})
+		defer pool.Close()
+		do := func(id string) upstream.Outcome {
+			return pool.Do(&upstream.Exchange{Request: upstream.Request{Method: "GET", Path: "/x", AttemptID: id}}).Outcome
+		}
+		must.Eq(t, upstream.Answered, do("first"))
+		want := upstream.InvalidResponse
+		if dropped {
+			server.DropLateCopies()
+			want = upstream.Answered
+		}
+		must.Eq(t, want, do("second"))
+	}
+}
--- a/internal/standin/faulty/server.go
+++ b/internal/standin/faulty/server.go
@@ -41,6 +41,7 @@
 
 	mu        sync.Mutex
 	script    func(Call) Reply
+	dropped   int // how often late copies were dropped
 	connLimit int
 	accepted  int
 	probes    int
@@ -56,7 +57,8 @@
 	in       *bufio.Reader
 	nth      int    // requests read so far
 	idle     bool   // guarded by Server.mu
-	lateCopy []byte // written once the next request has been read
+	dropped  int    // Server.dropped when the last request was read
+	lateCopy []byte // written once the next request has been read, if it was not dropped
 }
 
 // Start starts a Server that listens and serves until Close is called.
@@ -102,6 +104,13 @@
 	s.script = f
 }
 
+// DropLateCopies drops the late copies of responses to requests read so far, if they were not sent yet.
+func (s *Server) DropLateCopies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped++
+}
+
 // SetConnLimit sets the maximum number of open connections; 0 means no limit.
 func (s *Server) SetConnLimit(n int) {
 	s.mu.Lock()
@@ -256,12 +265,14 @@
 		s.waitWhilePaused() // bytes received during a pause count as read once it ends
 		p.nth++
 		c.Conn, c.Nth = conn, p.nth
-		p.Write(p.lateCopy)
-		p.lateCopy = nil
 		s.mu.Lock()
 		p.idle = false
-		script := s.script
+		script, dropped := s.script, s.dropped
 		s.mu.Unlock()
+		if dropped == p.dropped {
+			p.Write(p.lateCopy)
+		}
+		p.dropped, p.lateCopy = dropped, nil
 		var r Reply
 		if s.isProbe(c) {
 			s.mu.Lock()
--- a/lab/soak/searchers.go
+++ b/lab/soak/searchers.go
@@ -223,6 +223,7 @@
 	s.SetScript(script)
 	r.sleep(duration)
 	s.SetScript(defaultScript)
+	s.DropLateCopies()
 	r.returnSearcher(s)
 }
 
