Soak: a lost request tells whether its front can have read it

Whether the front had read the request, or had closed the connection before it came while the soak was run late, nothing told.

Change: the relay notes when a caller's bytes follow the callee's close, and the violation names it. No check is changed. The proxy's look at the peer of a connection moves to package keepalive, where the soak uses it, too.

Evidence: tests of lab/soak, proxy and keepalive.

--- a/lab/soak/attempt_checks.go
+++ b/lab/soak/attempt_checks.go
@@ -111,7 +111,8 @@
 	if slices.ContainsFunc(entries, func(e *faulty.Entry) bool { return !c.reliable(e, end) }) {
 		return
 	}
-	c.run.violation("lost: %s at front %d, with %d arrivals, after %v: %s", a.id, a.front, len(entries), a.took.Round(time.Millisecond), a.failure)
+	c.run.violation("lost: %s at front %d, with %d arrivals, after %v (%s): %s", a.id, a.front, len(entries), a.took.Round(time.Millisecond),
+		c.reachedFront(a), a.failure)
 }
 
 // crossedClose reports whether an attempt was sent while its front was closing the connection: the front has forwarded
@@ -120,6 +121,14 @@
 	return len(c.entries[a.id]) == 0 && a.took <= lossSlack
 }
 
+// reachedFront tells whether the front can have read an attempt that it did not answer.
+func (c *attemptChecker) reachedFront(a *attempt) string {
+	if c.run.network.crossings.between(a.connection, a.sent, a.sent.Add(a.took)) {
+		return "the front had closed the connection before"
+	}
+	return "on an open connection"
+}
+
 // checkPlanned verifies that no attempt fails in a run of planned maintenance only, except those that crossed a close.
 func (c *attemptChecker) checkPlanned(a *attempt) {
 	if !c.run.schedule.planned() {
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,6 +42,7 @@
 type attempt struct {
 	id, kind, path string
 	front          int
+	connection     string // the client's address on its connection; "" if it got none
 	sent           time.Time
 	took           time.Duration
 	status         int // 0: no answer
@@ -180,6 +182,9 @@
 		ctx, leave = context.WithTimeout(ctx, a.leaveAfter)
 		defer leave()
 	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		a.connection = got.Conn.LocalAddr().String()
+	}})
 	res, err := client.http.Do(req.WithContext(ctx))
 	a.front = int(client.front.Load())
 	defer func() { a.took = time.Since(a.sent) }()
--- a/lab/soak/network.go
+++ b/lab/soak/network.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"peathollow/internal/keepalive"
 )
 
 // Names of participants that aren't machines of the system.
@@ -20,8 +22,9 @@
 // network is the relay for all connections of a run. It forwards bytes, holds them back on partitioned links and resets
 // connections.
 type network struct {
-	onError func(error)              // receives errors of accept
-	resolve atomic.Pointer[resolver] // nil until the system is started
+	onError   func(error)              // receives errors of accept
+	resolve   atomic.Pointer[resolver] // nil until the system is started
+	crossings *crossings
 
 	mu         sync.Mutex
 	changed    chan struct{} // closed when a condition is added or removed
@@ -50,7 +53,7 @@
 }
 
 func newNetwork(onError func(error)) *network {
-	return &network{onError: onError, changed: make(chan struct{}), conditions: map[*condition]struct{}{}, pairs: map[*connPair]struct{}{}}
+	return &network{onError: onError, crossings: newCrossings(), changed: make(chan struct{}), conditions: map[*condition]struct{}{}, pairs: map[*connPair]struct{}{}}
 }
 
 // apply adds a condition, calls during and removes the condition.
@@ -232,6 +235,9 @@
 				p.end(true)
 				return
 			}
+			if from == p.callerConn && keepalive.PeerClosed(to) {
+				n.crossings.record(from.RemoteAddr())
+			}
 			if _, err := to.Write(b[:count]); err != nil {
 				p.end(true)
 				return
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -64,7 +64,7 @@
 // newCheckedRun returns a run without processes whose ledger and requests a test can fill in.
 func newCheckedRun(t *testing.T) (*run, *searcher) {
 	t.Helper()
-	r := &run{system: &localsystem.System{Ledger: &faulty.Ledger{}}, affected: map[*searcher]bool{}, started: time.Now()}
+	r := &run{system: &localsystem.System{Ledger: &faulty.Ledger{}}, network: newNetwork(nil), affected: map[*searcher]bool{}, started: time.Now()}
 	r.options.Dir = t.TempDir()
 	r.schedule = Schedule{Shape: (&Options{}).shape(Shape{}), Faults: []Fault{{Kind: KillProcess}}}
 	r.load = &load{run: r}
--- a/proxy/disconnect.go
+++ b/proxy/disconnect.go
@@ -4,10 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"peathollow/internal/keepalive"
 )
 
 // While a request is being answered, net/http detects that its client has disconnected by reading from the connection. If the
@@ -34,25 +33,5 @@
 // clientDisconnected reports whether the client of a request has closed or reset its connection, even behind unread bytes.
 func clientDisconnected(r *http.Request) bool {
 	c, ok := r.Context().Value(connectionKey{}).(*timeoutConn)
-	if !ok {
-		return false
-	}
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false // the connection is closed on this side, which net/http detects
-	}
-	closed := false
-	raw.Control(func(fd uintptr) { closed = peerClosed(fd) })
-	return closed
-}
-
-// peerClosed reports whether the peer of a connection has closed or reset it.
-func peerClosed(fd uintptr) bool {
-	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(polled, 0)
-	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return ok && keepalive.PeerClosed(c.Conn)
 }
