Proxy: a connection is closed only after a last look whether a request has arrived

Cause, as far as shown: http.Server.Shutdown, and the limit of connections, close what they take for idle. On a busy machine a request that has arrived is read late, and is thrown away unread.

Change: the proxy drains its connections itself. A read that waits for the next request is interrupted; whoever reads looks once more at the socket, and serves what has arrived. A connection that was not used yet is left open, as net/http did for five seconds. The former check of a request read from a connection that is closed at the same moment has nothing to do any more. The soak tells how long after its last byte a lost request ended.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -73,10 +73,25 @@
 	l.remove(c)
 	l.evicted++
 	l.mu.Unlock()
-	c.Close()
+	evict(c)
 	return true
 }
 
+// Drainer is a connection that can be closed without losing a request that has just arrived on it.
+type Drainer interface {
+	// Drain closes the connection as soon as no request has arrived on it that is not answered.
+	Drain()
+}
+
+// evict closes an idle connection.
+func evict(c net.Conn) {
+	if drainer, ok := c.(Drainer); ok {
+		drainer.Drain()
+		return
+	}
+	c.Close()
+}
+
 // onStateChange tracks the state of a connection; see http.Server.ConnState.
 func (l *Limit) onStateChange(c net.Conn, state http.ConnState) {
 	l.mu.Lock()
--- a/internal/keepalive/peer.go
+++ b/internal/keepalive/peer.go
@@ -10,6 +10,15 @@
 // PeerClosed reports whether the peer of a connection has closed or reset it, even behind unread bytes. It reports false for a
 // connection that is closed on this side, or has no socket.
 func PeerClosed(conn net.Conn) bool {
+	return poll(conn, unix.POLLRDHUP, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+}
+
+// Readable reports whether unread bytes have arrived on a connection, or its end. It reports false for a connection that is closed
+// on this side, or has no socket.
+func Readable(conn net.Conn) bool { return poll(conn, unix.POLLIN, unix.POLLIN) }
+
+// poll asks for events of a connection's socket, and reports whether one of those wanted has occurred.
+func poll(conn net.Conn, ask, want int16) (occurred bool) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -18,11 +27,10 @@
 	if err != nil {
 		return false
 	}
-	closed := false
 	raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		polled := []unix.PollFd{{Fd: int32(fd), Events: ask}}
 		n, err := unix.Poll(polled, 0)
-		closed = err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		occurred = err == nil && n > 0 && polled[0].Revents&want != 0
 	})
-	return closed
+	return occurred
 }
--- a/lab/soak/attempt_checks.go
+++ b/lab/soak/attempt_checks.go
@@ -123,10 +123,11 @@
 
 // reachedFront tells whether the front can have read an attempt that it did not answer.
 func (c *attemptChecker) reachedFront(a *attempt) string {
+	after := a.sent.Add(a.took).Sub(time.Unix(0, a.written.Load())).Round(time.Millisecond)
 	if c.run.network.crossings.between(a.connection, a.sent, a.sent.Add(a.took)) {
-		return "the front had closed the connection before"
+		return fmt.Sprint("the front had closed the connection before; ended ", after, " after the last byte was sent")
 	}
-	return "on an open connection"
+	return fmt.Sprint("on an open connection; ended ", after, " after the last byte was sent")
 }
 
 // checkPlanned verifies that no attempt fails in a run of planned maintenance only, except those that crossed a close.
--- a/proxy/disconnect.go
+++ b/proxy/disconnect.go
@@ -23,13 +23,6 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
-// connectionClosed reports whether this side has closed the connection of a request. An idle connection is closed for a shutdown
-// or for a new connection, and a request may be read from it at the same moment.
-func connectionClosed(r *http.Request) bool {
-	c, ok := r.Context().Value(connectionKey{}).(*timeoutConn)
-	return ok && c.closed.Load()
-}
-
 // clientDisconnected reports whether the client of a request has closed or reset its connection, even behind unread bytes.
 func clientDisconnected(r *http.Request) bool {
 	c, ok := r.Context().Value(connectionKey{}).(*timeoutConn)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -29,9 +29,6 @@
 // ServeHTTP handles one client request and writes its answer.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if connectionClosed(r) {
-		panic(http.ErrAbortHandler) // no answer could reach the client, so the request must not be sent on
-	}
 	h := w.Header()
 	h["Date"] = nil
 	if p.shuttingDown.Load() || len(r.TransferEncoding) > 0 {
@@ -65,6 +62,9 @@
 	}
 	p.recordFailure(&failure{attempt: client.AttemptID, route: route.Name, version: config.Version, elapsed: time.Since(arrived),
 		remaining: remaining}, final)
+	if p.draining.Load() {
+		h.Set("Connection", "close")
+	}
 	writeAnswer(w, final)
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -51,6 +51,7 @@
 	mixerCount    int
 	searchers     []request.Searcher
 	shuttingDown  atomic.Bool
+	draining      atomic.Bool // client connections are closed once they have their answers
 	observability *observability
 	probes        upstream.ProbeCounts
 	clientConns   *connlimit.Limit
@@ -86,7 +87,7 @@
 
 // Run serves until ctx ends, then finishes the requests in flight within the grace period.
 func (p *Proxy) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", p.settings.Front)
+	ln, err := net.Listen("tcp", p.settings.Front)
 	if err != nil {
 		return errors.Wrap(err, "listen on the front address")
 	}
@@ -98,9 +99,9 @@
 	defer stop()
 	p.startBackground(background)
 	go newReadinessServer(http.HandlerFunc(p.serveReady)).Serve(readiness)
-	frontServer := p.newFrontServer()
+	frontServer, front := p.newFrontServer(), newTimeoutListener(p.clientConns.Listen(ln), p.timeouts)
 	ended := make(chan error, 1)
-	go func() { ended <- frontServer.Serve(timeoutListener{p.clientConns.Listen(front), p.timeouts}) }()
+	go func() { ended <- frontServer.Serve(front) }()
 	p.log.Info().Str("event", "serving").Str("front", p.settings.Front).Msg("")
 	ticker := time.NewTicker(countersInterval)
 	defer ticker.Stop()
@@ -111,7 +112,7 @@
 		case <-ticker.C:
 			p.logCounters()
 		case <-ctx.Done():
-			p.shutDown(frontServer)
+			p.shutDown(frontServer, front)
 			return nil
 		}
 	}
--- a/proxy/timeouts.go
+++ b/proxy/timeouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync/atomic"
 	"time"
 )
 
@@ -37,25 +36,13 @@
 	return min(header+headerTimeoutSlack, maxTimeout), min(idle*idleTimeoutFactor, maxTimeout)
 }
 
-// timeoutListener accepts connections that apply the current timeouts.
-type timeoutListener struct {
-	net.Listener
-	timeouts func() (header, idle time.Duration)
-}
-
-func (l timeoutListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &timeoutConn{Conn: c, timeouts: l.timeouts}, nil
-}
-
+// timeoutConn is the connection of a client.
 type timeoutConn struct {
 	net.Conn
-	closed             atomic.Bool // by this side
 	timeouts           func() (header, idle time.Duration)
-	writeDeadlineSetAt time.Time // when the write deadline was last set; used only by the goroutine that writes
+	open               *openConns // holds it until it is closed
+	drain              drainState // see drain.go
+	writeDeadlineSetAt time.Time  // when the write deadline was last set; used only by the goroutine that writes
 }
 
 // writeDeadlineInterval is how often the write deadline is renewed. A client is given at least the idle timeout less this
@@ -82,20 +69,31 @@
 
 // Close closes the connection.
 func (c *timeoutConn) Close() error {
-	c.closed.Store(true)
+	c.open.remove(c)
 	return c.Conn.Close()
 }
 
-// SetReadDeadline replaces a placeholder deadline by one that uses the current timeout.
+// SetReadDeadline replaces a placeholder deadline by one that uses the current timeout. A connection that waits for a request while it
+// is drained is interrupted instead.
 func (c *timeoutConn) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() {
-		header, idle := c.timeouts()
-		switch remaining := time.Until(t); {
-		case remaining > (idleTimeoutPlaceholder+headerTimeoutPlaceholder)/2:
-			t = time.Now().Add(idle)
-		case remaining > headerTimeoutPlaceholder/2:
-			t = time.Now().Add(header)
-		}
+	c.drain.mu.Lock()
+	defer c.drain.mu.Unlock()
+	c.drain.interrupted = false
+	if t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	header, idle := c.timeouts()
+	switch remaining := time.Until(t); {
+	case remaining > (idleTimeoutPlaceholder+headerTimeoutPlaceholder)/2:
+		c.drain.reading = false
+		t = time.Now().Add(idle)
+	case remaining > headerTimeoutPlaceholder/2:
+		t = time.Now().Add(header)
+	default:
+		return c.Conn.SetReadDeadline(t)
+	}
+	if c.drain.mayClose() {
+		return c.interruptLocked()
 	}
 	return c.Conn.SetReadDeadline(t)
 }
--- a/proxy/timeouts_test.go
+++ b/proxy/timeouts_test.go
@@ -25,9 +25,9 @@
 		ln := make(pipes.Listener)
 		s := &http.Server{ReadHeaderTimeout: headerTimeoutPlaceholder, IdleTimeout: idleTimeoutPlaceholder,
 			Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-		go s.Serve(timeoutListener{ln, func() (time.Duration, time.Duration) {
+		go s.Serve(newTimeoutListener(ln, func() (time.Duration, time.Duration) {
 			return time.Duration(header.Load()), time.Duration(idle.Load())
-		}})
+		}))
 		defer s.Close()
 		dial := func() (net.Conn, *bufio.Reader) {
 			conn := ln.Dial()
@@ -69,7 +69,7 @@
 			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				w.Write(make([]byte, size))
 			})}
-		go s.Serve(timeoutListener{ln, func() (time.Duration, time.Duration) { return time.Second, idle }})
+		go s.Serve(newTimeoutListener(ln, func() (time.Duration, time.Duration) { return time.Second, idle }))
 		defer s.Close()
 		ln.CheckStalledReader(t, size, idle)
 	})
@@ -87,7 +87,7 @@
 					w.Write(make([]byte, size))
 				}
 			})}
-		go s.Serve(timeoutListener{ln, func() (time.Duration, time.Duration) { return time.Second, idle }})
+		go s.Serve(newTimeoutListener(ln, func() (time.Duration, time.Duration) { return time.Second, idle }))
 		defer s.Close()
 		c := ln.Dial()
 		io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
