--- a/internal/standin/faulty/server.go
+++ b/internal/standin/faulty/server.go
@@ -134,20 +134,25 @@
 
 func (s *Server) isProbe(c *Call) bool { return c.Path == s.opts.ProbePath && c.AttemptID == "" }
 
-// CloseIdle closes the connections that have no request in flight, with a TCP reset if reset is set, and returns
-// their number.
-func (s *Server) CloseIdle(reset bool) (n int) {
+// eachIdle calls a function for each connection that has no request in flight, and returns their number.
+func (s *Server) eachIdle(do func(*peer)) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for p := range s.open {
 		if p.idle {
-			p.end(reset)
+			do(p)
 			n++
 		}
 	}
 	return n
 }
 
+// CloseIdle closes the connections that have no request in flight, with a TCP reset if reset is set, and returns
+// their number.
+func (s *Server) CloseIdle(reset bool) int {
+	return s.eachIdle(func(p *peer) { p.end(reset) })
+}
+
 // ResetConns resets all open connections.
 func (s *Server) ResetConns() {
 	s.mu.Lock()
@@ -158,16 +163,8 @@
 }
 
 // WriteUnsolicited writes unsolicited bytes to the connections that have no request in flight, and returns their number.
-func (s *Server) WriteUnsolicited(b []byte) (n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for p := range s.open {
-		if p.idle {
-			p.Write(b)
-			n++
-		}
-	}
-	return n
+func (s *Server) WriteUnsolicited(b []byte) int {
+	return s.eachIdle(func(p *peer) { p.Write(b) })
 }
 
 // Close stops the server as a crash would: the port is closed and all connections are reset.
