Proxy: connections that wait to be accepted are accepted before the listener ends

Cause: the end of a listener resets the connections that wait to be accepted, with the requests that have arrived on them, and a busy front accepts late.

Change: the listener ends once nothing waits to be accepted, and at the time of the last answers at the latest.

Evidence: TestDrainAcceptsWhatWaits fails without the change.

--- a/internal/keepalive/peer.go
+++ b/internal/keepalive/peer.go
@@ -17,9 +17,13 @@
 // on this side, or has no socket.
 func Readable(conn net.Conn) bool { return poll(conn, unix.POLLIN, unix.POLLIN) }
 
-// poll asks for events of a connection's socket, and reports whether one of those wanted has occurred.
-func poll(conn net.Conn, ask, want int16) (occurred bool) {
-	socket, ok := conn.(syscall.Conn)
+// Pending reports whether a connection waits to be accepted by a listener. It reports false for a listener that is closed, or has no
+// socket.
+func Pending(ln net.Listener) bool { return poll(ln, unix.POLLIN, unix.POLLIN) }
+
+// poll asks for events of the socket of a connection or listener, and reports whether one of those wanted has occurred.
+func poll(owner any, ask, want int16) (occurred bool) {
+	socket, ok := owner.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -11,9 +11,9 @@
 )
 
 // http.Server.Shutdown closes a connection that it takes for idle, though a request may have arrived on it: the request is then
-// lost, and if it is read at the same moment, nobody can tell whether it was sent on. A busy process reads late, so that this is
-// not rare there. Therefore the proxy drains connections itself: whoever reads from the connection decides, after a last look
-// whether a request has arrived.
+// lost, and if it is read at the same moment, nobody can tell whether it was sent on. It resets the connections that wait to be
+// accepted, too. A busy process reads and accepts late, so that this is not rare there. Therefore the proxy drains connections
+// itself: whoever reads from the connection decides, after a last look whether a request has arrived.
 
 // interrupted is a deadline that has passed.
 var interrupted = time.Unix(1, 0)
@@ -134,7 +134,7 @@
 	return len(o.conns)
 }
 
-// drainPollInterval is how often the end of all connections is looked for.
+// drainPollInterval is how often the proxy looks whether connections have been accepted, or have ended.
 const drainPollInterval = 5 * time.Millisecond
 
 // awaitNone reports whether all connections were closed within the given time.
@@ -170,8 +170,12 @@
 	return c, nil
 }
 
-// drain accepts no further connections and drains those that are open.
-func (l *timeoutListener) drain() {
+// drain accepts no further connections and drains those that are open. Connections that wait to be accepted, which the end of the
+// listener would reset, are accepted before, until the given time.
+func (l *timeoutListener) drain(until time.Time) {
+	for keepalive.Pending(l.Listener) && time.Now().Before(until) {
+		time.Sleep(drainPollInterval)
+	}
 	l.Close()
 	l.open.drain()
 }
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -40,7 +40,7 @@
 		must.NoError(t, c.SetReadDeadline(time.Now().Add(placeholder)))
 		return c.drain.interrupted
 	}
-	ln.drain()
+	ln.drain(time.Now())
 	must.False(t, interrupts(headerTimeoutPlaceholder))
 	c.Drain()
 	must.True(t, c.drain.interrupted)
@@ -87,8 +87,34 @@
 	for answered.Load() < 10*clientCount {
 		time.Sleep(time.Millisecond)
 	}
-	ln.drain()
+	ln.drain(time.Now())
 	clients.Wait()
 	must.True(t, ln.open.awaitNone(time.Minute))
 	must.Eq(t, handled.Load(), answered.Load())
 }
+
+// TestDrainAcceptsWhatWaits guards against connections that are reset by the end of their listener, because a busy process accepts
+// late.
+func TestDrainAcceptsWhatWaits(t *testing.T) {
+	t.Parallel()
+	const waiting = 5
+	ln := listenForDrain(t)
+	for range waiting {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		must.NoError(t, err)
+		defer c.Close()
+	}
+	accepted := make(chan int)
+	go func() {
+		n := 0
+		for ; ; n++ {
+			if _, err := ln.Accept(); err != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		accepted <- n
+	}()
+	ln.drain(time.Now().Add(time.Minute))
+	must.Eq(t, waiting, <-accepted)
+}
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -20,8 +20,9 @@
 	p.handle(func() { p.coordinator.Stop(p.settings.ProxyAnswerTime()) })
 	time.Sleep(p.settings.ProxyListenTime())
 	p.draining.Store(true)
-	front.drain()
-	if !front.open.awaitNone(time.Until(began.Add(p.settings.ProxyAnswerTime()))) {
+	answerTime := began.Add(p.settings.ProxyAnswerTime())
+	front.drain(answerTime)
+	if !front.open.awaitNone(time.Until(answerTime)) {
 		p.handle(func() {}) // the timer of the coordinator may be late
 		front.open.awaitNone(max(minFlushTime, time.Until(began.Add(p.settings.ProxyExitTime()))))
 	}
