--- a/controlplane/server_test.go
+++ b/controlplane/server_test.go
@@ -44,11 +44,17 @@
 			must.NoError(t, err)
 			synctest.Wait()
 			started := time.Now()
-			go finishCalls(server, 10*time.Second)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				finishCalls(server, 10*time.Second)
+			}()
 			_, err = http.ReadResponse(bufio.NewReader(c), nil)
 			must.Eq(t, finished, err == nil, must.Sprint(err))
 			must.LessEq(t, lastCallsTimeout, time.Since(started))
 			c.Close()
+			<-ended
+			must.LessEq(t, lastCallsTimeout, time.Since(started))
 		}
 	})
 }
